--- /dev/null
+++ b/src/main/java/weldcross/bench/WireHost.java
@@ -0,0 +1,72 @@
+package weldcross.bench;
+
+import java.time.Duration;
+import weldcross.routing.Host;
+import weldcross.routing.RpcId;
+import weldcross.routing.ServerId;
+
+/** Writes one instance's calls as lines of the bench's wire. */
+final class WireHost implements Host {
+
+    static final String TIMER = "timer";
+    static final String DUE = "due";
+
+    private final StringBuilder reply;
+    private final int instance;
+    private final long startMicros;
+
+    WireHost(StringBuilder reply, int instance, long startMicros) {
+        this.reply = reply;
+        this.instance = instance;
+        this.startMicros = startMicros;
+    }
+
+    @Override
+    public void callOut(RpcId rpc, ServerId server, Duration until) {
+        begin("CALL_OUT").append(rpc.name()).append(' ').append(server.name()).append(' ')
+                .append(clock(until)).append('\n');
+    }
+
+    @Override
+    public void cancel(RpcId rpc, int callOut) {
+        begin("ABORT_ATTEMPT").append(rpc.name()).append(' ').append(callOut).append('\n');
+    }
+
+    @Override
+    public void pushBack(RpcId rpc, Duration comeBackAfter) {
+        begin("SHED").append(rpc.name()).append(' ').append(comeBackAfter.toNanos() / 1000).append('\n');
+    }
+
+    @Override
+    public void abort(RpcId rpc) {
+        begin("END_FAILED").append(rpc.name()).append('\n');
+    }
+
+    @Override
+    public void probe(ServerId server) {
+        begin("POLL").append(server.name()).append('\n');
+    }
+
+    @Override
+    public void watchList() {
+        begin("OBSERVE").append("1\n");
+    }
+
+    @Override
+    public void ringAt(Duration at) {
+        begin("WAKE_ME").append(TIMER).append(' ').append(clock(at)).append('\n');
+    }
+
+    @Override
+    public void dueAt(Duration at) {
+        begin("WAKE_ME").append(DUE).append(' ').append(clock(at)).append('\n');
+    }
+
+    private StringBuilder begin(String word) {
+        return reply.append(word).append(' ').append(instance).append(' ');
+    }
+
+    private long clock(Duration since) {
+        return startMicros + since.toNanos() / 1000;
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/routing/Condition.java
@@ -0,0 +1,4 @@
+package weldcross.routing;
+
+/** What the server list says of a server. */
+public enum Condition { ON, DRAINING, GONE }
--- /dev/null
+++ b/src/main/java/weldcross/routing/MethodRow.java
@@ -0,0 +1,17 @@
+package weldcross.routing;
+
+import java.time.Duration;
+
+/** What differs by method, as far as the router reads it. */
+public record MethodRow(Need need, Duration bound, Effect effect, Scope scope, Duration window,
+        Duration softDeadline, double utility, double lateUtility) {
+
+    /** How fresh the data must be: only the primary takes it, all commits, the session's, within a bound, any. */
+    public enum Need { WRITE, FRESH, SESSION, BOUNDED, ANY }
+
+    /** May run again; may run again where a repeat is known for one; may never run twice. */
+    public enum Effect { IDEMPOTENT, TOKENED, NON_IDEMPOTENT }
+
+    /** The servers that know a repeat of a tokened RPC. */
+    public enum Scope { ALL, ZONE, GROUP }
+}
--- /dev/null
+++ b/src/main/java/weldcross/routing/Router.java
@@ -0,0 +1,688 @@
+package weldcross.routing;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import weldcross.routing.MethodRow.Effect;
+import weldcross.routing.MethodRow.Need;
+import weldcross.routing.MethodRow.Scope;
+
+/**
+ * Decides where each RPC goes: the fast causal reads of Readwritesplit, from one gateway's own knowledge.
+ *
+ * <p>A gateway (today {@code weldcross.bench.WireLoop}) calls one public method for each thing that happens,
+ * with the time since this router started; the router acts by calling {@link Host}, the interface it is
+ * handed, with {@link ServiceTerms}, at the start. The ordinary path is {@link #choose}; all else guards it.
+ * docs/design.md says what is kept of the design, what was added and when that acts.
+ */
+public final class Router {
+
+    /** The beat of the periodic work; positions are looked at and held RPCs tried again this often. */
+    private static final Duration BEAT = Duration.ofMillis(25);
+    /** Between two rounds of a write over members of which none took it. */
+    private static final Duration SHORT_WAIT = Duration.ofMillis(100);
+    /** Between probes where no bound says how old a known position may grow. */
+    private static final Duration IDLE_PROBE = Duration.ofMillis(500);
+    /** Doubt first lasts this long and doubles with each trial that fails. */
+    private static final Duration FIRST_DOUBT = Duration.ofMillis(200);
+    private static final Duration LONGEST_DOUBT = Duration.ofSeconds(2);
+    /** As many answers overdue mean silence: by chance alone fewer than one in a hundred would come to it. */
+    private static final double OVERDUE_ANSWERS = 5;
+    /** What part of the fall budget is used: the rest covers handshakes, probes and uneven RPCs. */
+    private static final double COLD_MARGIN = 0.5;
+    /** Over this time the work that warm servers do is averaged. */
+    private static final Duration PACE_SPAN = Duration.ofSeconds(4);
+    /** Further call-outs earned by each ok, and how many may be saved up. */
+    private static final double EXTRA_PER_OK = 0.2;
+    private static final double EXTRA_SAVED = 30;
+    /** How long a session's token is kept by itself; later all tokenless reads must hold it. */
+    private static final Duration TOKEN_KEPT = Duration.ofSeconds(60);
+
+    /** A server as this router knows it, by the answers, reports and lists it has had. */
+    private static final class Seat {
+        final ServerId id;
+        final Group group;
+        ZoneId zone;
+        boolean listed;
+        boolean draining;
+        Duration start;
+        Duration coldSince;
+        Duration pos;
+        Duration primaryAsOf;
+        int reads;
+        final LinkedHashSet<CallOut> out = new LinkedHashSet<>();
+        Duration lastWord = Duration.ZERO;
+        boolean probing;
+        Duration probedAt;
+        boolean doubted;
+        int strikes;
+        Duration doubt = FIRST_DOUBT;
+        Duration trialAt;
+        final ArrayDeque<CallOut> spent = new ArrayDeque<>();
+        double spentWork;
+
+        Seat(ServerId id, Group group) {
+            this.id = id;
+            this.group = group;
+        }
+    }
+
+    /** A primary and its replicas, with the RPCs of theirs that wait in this gateway, oldest first. */
+    private static final class Group {
+        final List<Seat> seats = new ArrayList<>();
+        final LinkedHashSet<Rpc> held = new LinkedHashSet<>();
+        Seat primary;
+        boolean heard;
+        int turn;
+        Duration nextRound = Duration.ZERO;
+    }
+
+    private static final class CallOut {
+        final Rpc rpc;
+        final Seat seat;
+        final int number;
+        final Duration sent;
+        final double work;
+        boolean over;
+
+        CallOut(Rpc rpc, Seat seat, int number, Duration sent, double work) {
+            this.rpc = rpc;
+            this.seat = seat;
+            this.number = number;
+            this.sent = sent;
+            this.work = work;
+        }
+    }
+
+    private static final class Rpc {
+        final RpcId id;
+        final int method;
+        final MethodRow row;
+        final Group group;
+        final SessionId session;
+        final Duration arrived;
+        final Duration giveUpAt;
+        final Duration lastSend;
+        Duration token;
+        final List<CallOut> callOuts = new ArrayList<>();
+        final Set<Seat> tried = new HashSet<>();
+        int out;
+        boolean mayHaveRun;
+        boolean answered;
+
+        Rpc(RpcId id, int method, MethodRow row, Group group, SessionId session, Duration arrived,
+                Duration giveUpAt, Duration lastSend) {
+            this.id = id;
+            this.method = method;
+            this.row = row;
+            this.group = group;
+            this.session = session;
+            this.arrived = arrived;
+            this.giveUpAt = giveUpAt;
+            this.lastSend = lastSend;
+        }
+    }
+
+    private final Host host;
+    private final ServiceTerms terms;
+    private final SplittableRandom dice;
+    private final Duration probeAfter;
+    private final Map<ServerId, Seat> seats = new LinkedHashMap<>();
+    private final Map<GroupId, Group> groups = new LinkedHashMap<>();
+    private final Map<RpcId, Rpc> open = new LinkedHashMap<>();
+    private final TreeMap<Duration, List<Rpc>> dues = new TreeMap<>();
+    private final LinkedHashMap<SessionId, Duration> tokens = new LinkedHashMap<>();
+    private final double[] pace;
+    private Duration floor;
+    private Duration wakeAt;
+    private Duration askAt;
+    private Duration askWait;
+    private Set<Seat> unseen;
+    private double workDone;
+    private double warmRate;
+    private double extra = EXTRA_SAVED / 2;
+
+    public Router(Host host, ServiceTerms terms, long seed) {
+        this.host = host;
+        this.terms = terms;
+        this.dice = new SplittableRandom(seed);
+        this.pace = new double[terms.methods().size()];
+        this.probeAfter = terms.methods().stream().filter(m -> m.need() == Need.BOUNDED)
+                .map(m -> m.bound().dividedBy(4)).min(Duration::compareTo).orElse(IDLE_PROBE);
+        this.askWait = terms.askWithin().dividedBy(16);
+        if (terms.listOnRequest()) {
+            host.watchList();
+        }
+        host.ringAt(BEAT);
+    }
+
+    // ---- The server list
+
+    public void listBegins(Duration now, boolean whole) {
+        unseen = whole ? new LinkedHashSet<>(seats.values()) : new LinkedHashSet<>();
+    }
+
+    public void memberListed(Duration now, ServerId id, ZoneId zone, GroupId groupId, Condition condition,
+            Duration start, boolean head) {
+        Group group = groups.computeIfAbsent(groupId, g -> new Group());
+        Seat seat = seats.computeIfAbsent(id, s -> {
+            Seat made = new Seat(s, group);
+            group.seats.add(made);
+            return made;
+        });
+        unseen.remove(seat);
+        seat.zone = zone;
+        if (condition == Condition.GONE) {
+            leave(seat);
+            return;
+        }
+        seat.listed = true;
+        seat.draining = condition == Condition.DRAINING;
+        // A start not seen before is a cold server, whatever this router thought of it.
+        if (start != null && !start.equals(seat.start)) {
+            seat.start = start;
+            seat.coldSince = start;
+        }
+        // The list is late: it names a primary only where nothing better is known.
+        if (head && group.primary == null) {
+            group.primary = seat;
+        }
+    }
+
+    public void listEnds(Duration now) {
+        unseen.forEach(this::leave);
+        unseen = Set.of();
+        beat(now);
+    }
+
+    /** The notice does not say which call failed, so the watch is asked for again, more and more rarely. */
+    public void listFailed(Duration now) {
+        askAt = now.plus(askWait).plusNanos(dice.nextLong(askWait.toNanos() + 1));
+        Duration longest = terms.askWithin().dividedBy(2);
+        askWait = askWait.multipliedBy(2).compareTo(longest) < 0 ? askWait.multipliedBy(2) : longest;
+    }
+
+    private void leave(Seat seat) {
+        if (terms.goneBinds()) {
+            seat.listed = false;
+        }
+    }
+
+    // ---- RPCs
+
+    public void rpcArrived(Duration now, RpcId id, int method, GroupId groupId, SessionId session,
+            Duration sinceWrite, TenantId tenant, Duration patience, boolean repeat) {
+        MethodRow row = terms.methods().get(method);
+        Duration deadline = now.plus(patience);
+        Duration soft = now.plus(row.softDeadline());
+        // Where a late answer has no utility the soft deadline ends the work, so that servers drop it.
+        Duration giveUpAt = row.lateUtility() > 0 || soft.compareTo(deadline) > 0 ? deadline : soft;
+        Group group = groups.computeIfAbsent(groupId, g -> new Group());
+        // What is still held is answered a beat before the client gives up, not in the same moment.
+        Duration last = deadline.minus(BEAT);
+        Rpc rpc = new Rpc(id, method, row, group, session, now, giveUpAt,
+                giveUpAt.compareTo(last) < 0 ? giveUpAt : last);
+        if (row.need() == Need.SESSION) {
+            if (!terms.tokensCarried()) {
+                rpc.token = tokens.getOrDefault(session, floor);
+            } else if (!sinceWrite.isZero()) {
+                rpc.token = now.minus(sinceWrite);
+            }
+        }
+        open.put(id, rpc);
+        dueAt(now, rpc.lastSend, rpc);
+        route(now, rpc);
+    }
+
+    public void callOutEnded(Duration now, RpcId id, int number, ServerId server, Outcome outcome, Duration took,
+            Boolean primary, Duration pos, boolean ended) {
+        Rpc rpc = open.get(id);
+        if (rpc == null || number >= rpc.callOuts.size() || rpc.callOuts.get(number).over) {
+            return;
+        }
+        CallOut callOut = rpc.callOuts.get(number);
+        Seat seat = callOut.seat;
+        callOut.over = true;
+        rpc.out--;
+        seat.out.remove(callOut);
+        if (rpc.row.need() != Need.WRITE) {
+            seat.reads--;
+        }
+        rpc.mayHaveRun |= !outcome.neverRan;
+        boolean write = rpc.row.need() == Need.WRITE;
+        if (write && outcome == Outcome.OK && rpc.session != null && !terms.tokensCarried()) {
+            Duration commit = pos == null ? now : pos;
+            Duration old = tokens.remove(rpc.session);
+            tokens.put(rpc.session, old != null && old.compareTo(commit) > 0 ? old : commit);
+        }
+        if (primary != null) {
+            Duration asOf = pos != null && !write ? pos : now.minus(took);
+            learn(now, seat, primary ? asOf : pos, primary, true);
+        }
+        judge(now, seat, callOut, outcome, took);
+        if (ended) {
+            close(rpc);
+        }
+        if (!rpc.answered) {
+            furtherCallOut(now, rpc, seat, outcome);
+        }
+        if (rpc.answered && rpc.out == 0) {
+            open.remove(id);
+        }
+    }
+
+    public void clientLeft(Duration now, RpcId id) {
+        Rpc rpc = open.get(id);
+        if (rpc != null) {
+            close(rpc);
+        }
+    }
+
+    // ---- What servers say of themselves
+
+    public void probeEnded(Duration now, ServerId server, boolean ok) {
+        Seat seat = seats.get(server);
+        if (seat != null) {
+            seat.probing = false;
+        }
+    }
+
+    /** A report is as old as it is: what it says of the role counts from the position it names. */
+    public void reported(Duration now, ServerId server, Duration pos, Boolean primary) {
+        Seat seat = seats.get(server);
+        if (seat != null) {
+            learn(now, seat, pos, primary, false);
+        }
+    }
+
+    private void learn(Duration now, Seat seat, Duration pos, Boolean primary, boolean answer) {
+        Group group = seat.group;
+        boolean first = !group.heard;
+        group.heard = true;
+        Seat before = group.primary;
+        if (Boolean.TRUE.equals(primary)) {
+            if (seat.primaryAsOf == null || seat.primaryAsOf.compareTo(pos) < 0) {
+                seat.primaryAsOf = pos;
+            }
+            if (before == null || before.primaryAsOf == null || pos.compareTo(before.primaryAsOf) > 0) {
+                group.primary = seat;
+            }
+        } else if (primary != null && seat == before && (answer || seat.primaryAsOf == null
+                || pos.compareTo(seat.primaryAsOf) >= 0)) {
+            // A primary stands at the present, so a report from behind its own claim is older than the claim.
+            seat.primaryAsOf = null;
+            group.primary = null;
+        }
+        if (pos != null && (seat.pos == null || seat.pos.compareTo(pos) < 0)) {
+            seat.pos = pos;
+        }
+        if (first || group.primary != before) {
+            group.nextRound = now;
+            release(now, group);
+        }
+    }
+
+    // ---- Time
+
+    public void timerRang(Duration now) {
+        host.ringAt(now.plus(BEAT));
+        if (askAt != null && now.compareTo(askAt) >= 0) {
+            askAt = null;
+            host.watchList();
+        }
+        long warm = seats.values().stream().filter(s -> s.listed && !cold(now, s)).count();
+        if (warm > 0) {
+            double part = (double) BEAT.toNanos() / PACE_SPAN.toNanos();
+            warmRate += part * (workDone / warm / seconds(BEAT) - warmRate);
+        }
+        workDone = 0;
+        while (!tokens.isEmpty()) {
+            Map.Entry<SessionId, Duration> oldest = tokens.entrySet().iterator().next();
+            if (now.minus(TOKEN_KEPT).compareTo(oldest.getValue()) < 0) {
+                break;
+            }
+            floor = floor == null || floor.compareTo(oldest.getValue()) < 0 ? oldest.getValue() : floor;
+            tokens.remove(oldest.getKey());
+        }
+        beat(now);
+    }
+
+    public void dueReached(Duration now) {
+        wakeAt = null;
+        while (!dues.isEmpty() && dues.firstKey().compareTo(now) <= 0) {
+            for (Rpc rpc : dues.pollFirstEntry().getValue()) {
+                if (!rpc.answered && (rpc.out == 0 || rpc.row.effect() == Effect.IDEMPOTENT)) {
+                    giveUp(rpc);
+                }
+            }
+        }
+        if (!dues.isEmpty()) {
+            wake(dues.firstKey());
+        }
+    }
+
+    private void dueAt(Duration now, Duration at, Rpc rpc) {
+        dues.computeIfAbsent(at, a -> new ArrayList<>(1)).add(rpc);
+        if (wakeAt == null || at.compareTo(wakeAt) < 0) {
+            wake(at);
+        }
+    }
+
+    private void wake(Duration at) {
+        wakeAt = at;
+        host.dueAt(at);
+    }
+
+    private void beat(Duration now) {
+        for (Seat seat : seats.values()) {
+            if (seat.listed && !seat.draining) {
+                probeIfOld(now, seat);
+            }
+            if (!seat.doubted && silent(now, seat)) {
+                doubt(now, seat);
+                rescue(now, seat);
+            }
+        }
+        groups.values().forEach(g -> release(now, g));
+    }
+
+    private void probeIfOld(Duration now, Seat seat) {
+        boolean old = seat.pos == null || now.minus(seat.pos).compareTo(probeAfter) > 0;
+        boolean asked = seat.probing || seat.probedAt != null && now.minus(seat.probedAt).compareTo(probeAfter) < 0;
+        if (terms.probes() && old && !asked) {
+            seat.probing = true;
+            seat.probedAt = now;
+            host.probe(seat.id);
+        }
+    }
+
+    // ---- The design's ordinary path
+
+    private Seat choose(Duration now, Rpc rpc) {
+        Group group = rpc.group;
+        if (rpc.row.need() == Need.WRITE) {
+            return group.primary != null ? ready(now, rpc, group.primary) : nextInTurn(now, rpc);
+        }
+        if (!group.heard) {
+            return null;
+        }
+        Seat best = null;
+        for (Seat seat : group.seats) {
+            if (seat != group.primary && holds(now, rpc, seat) && ready(now, rpc, seat) != null
+                    && (best == null || lessBusy(seat, best))) {
+                best = seat;
+            }
+        }
+        return best != null || group.primary == null ? best : ready(now, rpc, group.primary);
+    }
+
+    /** Whether a replica's known position is enough for the read. */
+    private boolean holds(Duration now, Rpc rpc, Seat seat) {
+        Duration pos = seat.pos;
+        return switch (rpc.row.need()) {
+            case ANY -> true;
+            case BOUNDED -> pos != null && now.minus(pos).compareTo(rpc.row.bound()) < 0;
+            case SESSION -> rpc.token == null || pos != null && pos.compareTo(rpc.token) >= 0;
+            case FRESH -> pos != null && pos.compareTo(rpc.arrived) >= 0;
+            case WRITE -> false;
+        };
+    }
+
+    /** Crossing zones costs, so the nearer of equals is taken; chance splits the rest. */
+    private boolean lessBusy(Seat a, Seat b) {
+        if (a.reads != b.reads) {
+            return a.reads < b.reads;
+        }
+        boolean nearA = a.zone.equals(terms.zone());
+        return nearA != b.zone.equals(terms.zone()) ? nearA : dice.nextBoolean();
+    }
+
+    /** No primary is known: the members in turn, and after a round a short wait, one write at a time. */
+    private Seat nextInTurn(Duration now, Rpc rpc) {
+        Group group = rpc.group;
+        // The last call-out is kept for a primary that is known.
+        if (now.compareTo(group.nextRound) < 0 || rpc.callOuts.size() + 1 >= terms.callOutLimit()) {
+            return null;
+        }
+        for (int k = 0; k < group.seats.size(); k++) {
+            Seat seat = group.seats.get(group.turn++ % group.seats.size());
+            if (ready(now, rpc, seat) != null) {
+                return seat;
+            }
+        }
+        rpc.tried.clear();
+        group.nextRound = now.plus(SHORT_WAIT);
+        return null;
+    }
+
+    // ---- Sending and answering
+
+    private void route(Duration now, Rpc rpc) {
+        if (rpc.callOuts.size() >= terms.callOutLimit()) {
+            if (rpc.out == 0) {
+                giveUp(rpc);
+            }
+            return;
+        }
+        Seat seat = choose(now, rpc);
+        if (seat == null) {
+            if (rpc.out == 0) {
+                rpc.group.held.add(rpc);
+            }
+            return;
+        }
+        rpc.group.held.remove(rpc);
+        CallOut callOut = new CallOut(rpc, seat, rpc.callOuts.size(), now, work(rpc));
+        rpc.callOuts.add(callOut);
+        rpc.out++;
+        rpc.tried.add(seat);
+        seat.out.add(callOut);
+        if (rpc.row.need() != Need.WRITE) {
+            seat.reads++;
+        }
+        if (cold(now, seat)) {
+            seat.spent.add(callOut);
+            seat.spentWork += callOut.work;
+        }
+        if (seat.doubted) {
+            seat.trialAt = now.plus(seat.doubt);
+        }
+        host.callOut(rpc.id, seat.id, rpc.giveUpAt);
+    }
+
+    private void release(Duration now, Group group) {
+        for (Rpc rpc : new ArrayList<>(group.held)) {
+            if (!rpc.answered) {
+                route(now, rpc);
+            }
+        }
+    }
+
+    /** An RPC goes out again where its method allows; what failed before its time is tried elsewhere. */
+    private void furtherCallOut(Duration now, Rpc rpc, Seat from, Outcome outcome) {
+        boolean late = now.compareTo(rpc.lastSend) >= 0;
+        boolean over = late || rpc.callOuts.size() >= terms.callOutLimit()
+                || rpc.row.effect() == Effect.NON_IDEMPOTENT && rpc.mayHaveRun;
+        if (over) {
+            if (rpc.out == 0) {
+                giveUp(rpc);
+            }
+            return;
+        }
+        if (rpc.out > 0) {
+            return;
+        }
+        if (outcome == Outcome.MISS && rpc.row.need() == Need.WRITE) {
+            route(now, rpc);
+            return;
+        }
+        boolean allTried = rpc.group.seats.stream().allMatch(s -> !s.listed || rpc.tried.contains(s));
+        if (allTried) {
+            rpc.tried.clear();
+            rpc.group.held.add(rpc);
+        } else {
+            route(now, rpc);
+        }
+    }
+
+    private void giveUp(Rpc rpc) {
+        boolean clean = rpc.out == 0 && !rpc.mayHaveRun;
+        boolean harmless = rpc.row.effect() == Effect.IDEMPOTENT || clean
+                || rpc.row.effect() == Effect.TOKENED && rpc.row.scope() == Scope.ALL;
+        if (harmless) {
+            host.pushBack(rpc.id, terms.longestComeBack());
+        } else {
+            host.abort(rpc.id);
+        }
+        close(rpc);
+    }
+
+    private void close(Rpc rpc) {
+        rpc.answered = true;
+        rpc.group.held.remove(rpc);
+        if (terms.cancels()) {
+            rpc.callOuts.stream().filter(c -> !c.over).forEach(c -> host.cancel(rpc.id, c.number));
+        }
+        if (rpc.out == 0) {
+            open.remove(rpc.id);
+        }
+    }
+
+    // ---- Guards
+
+    /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
+    private Seat ready(Duration now, Rpc rpc, Seat seat) {
+        boolean fits = seat.listed && !seat.draining && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
+                && trusted(now, rpc, seat) && coldRoom(now, rpc, seat);
+        return fits ? seat : null;
+    }
+
+    private boolean maySend(Duration now, Rpc rpc, Seat seat) {
+        if (rpc.out > 0 && !terms.parallelCallOuts()) {
+            return false;
+        }
+        if (rpc.out == 0 && !rpc.mayHaveRun || rpc.row.effect() == Effect.IDEMPOTENT) {
+            return true;
+        }
+        if (rpc.row.effect() == Effect.NON_IDEMPOTENT) {
+            return false;
+        }
+        CallOut first = rpc.callOuts.get(0);
+        boolean known = rpc.row.scope() != Scope.ZONE || first.seat.zone.equals(seat.zone);
+        return known && now.minus(first.sent).compareTo(rpc.row.window()) < 0;
+    }
+
+    private boolean trusted(Duration now, Rpc rpc, Seat seat) {
+        // Trials go by RPCs that may run again; a write only when no read has come by for as long again.
+        Duration due = !seat.doubted ? now : rpc.row.effect() == Effect.IDEMPOTENT ? seat.trialAt
+                : seat.trialAt.plus(seat.doubt);
+        return !seat.doubted || seat.out.isEmpty() && now.compareTo(due) >= 0;
+    }
+
+    private boolean cold(Duration now, Seat seat) {
+        return seat.coldSince != null && now.minus(seat.coldSince).compareTo(terms.coldFor()) < 0;
+    }
+
+    /**
+     * Against pushing over a cold server. A gateway's own share of a warm server's work, times what part of
+     * its capacity the cold one has at least, adds up over all gateways to what the cold one can take.
+     */
+    private boolean coldRoom(Duration now, Rpc rpc, Seat seat) {
+        while (!seat.spent.isEmpty() && now.minus(seat.spent.peek().sent).compareTo(terms.fallWindow()) > 0) {
+            seat.spentWork -= seat.spent.poll().work;
+        }
+        if (!cold(now, seat) || seat.spent.isEmpty()) {
+            return true;
+        }
+        double age = Math.max(0, seconds(now.minus(seat.coldSince)) / seconds(terms.coldFor()));
+        double share = terms.coldShare() + (1 - terms.coldShare()) * age;
+        return seat.spentWork + work(rpc)
+                <= COLD_MARGIN * terms.fallMultiple() * share * warmRate * seconds(terms.fallWindow());
+    }
+
+    private double work(Rpc rpc) {
+        return pace[rpc.method] > 0 ? pace[rpc.method] : 1;
+    }
+
+    /** Silence: several answers are overdue from this server, by what RPCs have taken. */
+    private boolean silent(Duration now, Seat seat) {
+        if (seat.out.isEmpty()) {
+            return false;
+        }
+        CallOut oldest = seat.out.iterator().next();
+        Duration since = oldest.sent.compareTo(seat.lastWord) > 0 ? oldest.sent : seat.lastWord;
+        double expected = seat.out.stream().mapToDouble(c -> 1 / work(c.rpc)).sum();
+        return seconds(now.minus(since)) * expected > OVERDUE_ANSWERS;
+    }
+
+    private void judge(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
+        switch (outcome) {
+            case OK -> {
+                int m = callOut.rpc.method;
+                pace[m] = pace[m] == 0 ? seconds(took) : pace[m] + 0.05 * (seconds(took) - pace[m]);
+                workDone += cold(now, seat) ? 0 : callOut.work;
+                extra = Math.min(EXTRA_SAVED, extra + EXTRA_PER_OK);
+                trust(now, seat);
+            }
+            case MISS -> trust(now, seat);
+            case ERROR, NO_ROOM -> {
+                seat.lastWord = now;
+                if (++seat.strikes > 1) {
+                    doubt(now, seat);
+                }
+            }
+            case NO_ROUTE, CUT -> {
+                // A process that is not there may come back cold before the list says so.
+                seat.coldSince = now;
+                doubt(now, seat);
+            }
+            default -> {
+            }
+        }
+    }
+
+    private void trust(Duration now, Seat seat) {
+        seat.lastWord = now;
+        seat.strikes = 0;
+        seat.doubted = false;
+        seat.doubt = FIRST_DOUBT;
+    }
+
+    private void doubt(Duration now, Seat seat) {
+        if (seat.doubted && now.compareTo(seat.trialAt) >= 0) {
+            seat.doubt = seat.doubt.multipliedBy(2).compareTo(LONGEST_DOUBT) < 0 ? seat.doubt.multipliedBy(2)
+                    : LONGEST_DOUBT;
+        }
+        seat.doubted = true;
+        seat.trialAt = now.plus(seat.doubt);
+    }
+
+    /** Idempotent RPCs on a silent server get another call-out, as long as the rest answer well. */
+    private void rescue(Duration now, Seat seat) {
+        for (CallOut callOut : new ArrayList<>(seat.out)) {
+            Rpc rpc = callOut.rpc;
+            if (rpc.answered || rpc.row.effect() != Effect.IDEMPOTENT || rpc.out > 1 || extra < 1) {
+                continue;
+            }
+            if (terms.parallelCallOuts()) {
+                extra--;
+                route(now, rpc);
+            } else if (terms.cancels()) {
+                extra--;
+                host.cancel(rpc.id, callOut.number);
+            }
+        }
+    }
+
+    private static double seconds(Duration span) {
+        return span.toNanos() / 1e9;
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/routing/TenantId.java
@@ -0,0 +1,5 @@
+package weldcross.routing;
+
+/** A customer with a share of the service. */
+public record TenantId(int number) {
+}
