Hold RPCs behind a window per server and send them out by utility

Change: a window per server, settled by answer time against the soft deadline; more waits in the gateway, goes out by utility per time, and what cannot make it is given up at once.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -34,6 +35,14 @@
     /** Doubt first lasts this long and doubles with each trial that fails. */
     private static final Duration FIRST_DOUBT = Duration.ofMillis(200);
     private static final Duration LONGEST_DOUBT = Duration.ofSeconds(2);
+    /** What a call-out should take on the mean, as a part of its soft deadline: a server full, but not jammed. */
+    private static final double EASE = 0.38;
+    /** How far one answer moves a server's window, and where the window starts and ends. */
+    private static final double WINDOW_GAIN = 0.12;
+    private static final double FIRST_WINDOW = 6;
+    private static final double WIDEST_WINDOW = 1000;
+    /** What a client's repeat is valued at: its soft deadline runs from the first try and has mostly passed. */
+    private static final double REPEAT_VALUE = 0.3;
     /** As many answers overdue mean silence: by chance alone fewer than one in a hundred would come to it. */
     private static final double OVERDUE_ANSWERS = 5;
     /** What part of the fall budget is used: the rest covers handshakes, probes and uneven RPCs. */
@@ -68,6 +77,7 @@
         Duration trialAt;
         final ArrayDeque<CallOut> spent = new ArrayDeque<>();
         double spentWork;
+        double window = FIRST_WINDOW;
 
         Seat(ServerId id, Group group) {
             this.id = id;
@@ -111,6 +121,7 @@
         final Duration arrived;
         final Duration giveUpAt;
         final Duration lastSend;
+        final double worth;
         Duration token;
         final List<CallOut> callOuts = new ArrayList<>();
         final Set<Seat> tried = new HashSet<>();
@@ -119,7 +130,7 @@
         boolean answered;
 
         Rpc(RpcId id, int method, MethodRow row, Group group, SessionId session, Duration arrived,
-                Duration giveUpAt, Duration lastSend) {
+                Duration giveUpAt, Duration lastSend, double worth) {
             this.id = id;
             this.method = method;
             this.row = row;
@@ -128,6 +139,7 @@
             this.arrived = arrived;
             this.giveUpAt = giveUpAt;
             this.lastSend = lastSend;
+            this.worth = worth;
         }
     }
 
@@ -229,7 +241,7 @@
         // What is still held is answered a beat before the client gives up, not in the same moment.
         Duration last = deadline.minus(BEAT);
         Rpc rpc = new Rpc(id, method, row, group, session, now, giveUpAt,
-                giveUpAt.compareTo(last) < 0 ? giveUpAt : last);
+                giveUpAt.compareTo(last) < 0 ? giveUpAt : last, row.utility() * (repeat ? REPEAT_VALUE : 1));
         if (row.need() == Need.SESSION) {
             if (!terms.tokensCarried()) {
                 rpc.token = tokens.getOrDefault(session, floor);
@@ -277,6 +289,7 @@
         if (rpc.answered && rpc.out == 0) {
             open.remove(id);
         }
+        release(now, seat.group);
     }
 
     public void clientLeft(Duration now, RpcId id) {
@@ -499,13 +512,30 @@
     }
 
     private void release(Duration now, Group group) {
-        for (Rpc rpc : new ArrayList<>(group.held)) {
-            if (!rpc.answered) {
+        List<Rpc> waiting = new ArrayList<>(group.held);
+        waiting.sort(Comparator.comparingDouble(rpc -> -value(now, rpc)));
+        for (Rpc rpc : waiting) {
+            if (!rpc.answered && !hopeless(now, rpc)) {
                 route(now, rpc);
             }
         }
     }
 
+    /** Utility for a server's time: what is held goes out by it, the oldest of equals first. */
+    private double value(Duration now, Rpc rpc) {
+        boolean late = now.compareTo(rpc.arrived.plus(rpc.row.softDeadline())) >= 0;
+        return rpc.worth * (late ? rpc.row.lateUtility() : 1) / work(rpc);
+    }
+
+    /** Gives up at once what could no longer be answered in time, so that no server works on it in vain. */
+    private boolean hopeless(Duration now, Rpc rpc) {
+        boolean over = seconds(rpc.giveUpAt.minus(now)) < work(rpc) / 2 && pace[rpc.method] > 0;
+        if (over) {
+            giveUp(rpc);
+        }
+        return over;
+    }
+
     /** An RPC goes out again where its method allows; what failed before its time is tried elsewhere. */
     private void furtherCallOut(Duration now, Rpc rpc, Seat from, Outcome outcome) {
         boolean late = now.compareTo(rpc.lastSend) >= 0;
@@ -560,7 +590,7 @@
 
     /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
     private Seat ready(Duration now, Rpc rpc, Seat seat) {
-        boolean fits = seat.listed && !seat.draining && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
+        boolean fits = seat.listed && !seat.draining && seat.out.size() < (int) seat.window && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
                 && trusted(now, rpc, seat) && coldRoom(now, rpc, seat);
         return fits ? seat : null;
     }
@@ -624,6 +654,7 @@
     }
 
     private void judge(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
+        widen(seat, callOut, outcome, took);
         switch (outcome) {
             case OK -> {
                 int m = callOut.rpc.method;
@@ -649,6 +680,23 @@
         }
     }
 
+    /**
+     * The window of a server: this router's call-outs there, more wait in the gateway. It settles where
+     * answers take {@link #EASE} of their soft deadline, whatever slows the server and whoever else uses it.
+     * Against queues in servers, where nothing can be chosen any more; harmful if soft deadlines are set
+     * far from what the work takes.
+     */
+    private void widen(Seat seat, CallOut callOut, Outcome outcome, Duration took) {
+        if (outcome.neverRan && outcome != Outcome.NO_ROOM) {
+            return;
+        }
+        double strain = outcome == Outcome.NO_ROOM ? 1 : seconds(took) / seconds(callOut.rpc.row.softDeadline());
+        double step = WINDOW_GAIN * (EASE - Math.min(1, strain));
+        if (step < 0 || seat.out.size() + 2 > seat.window) {
+            seat.window = Math.min(WIDEST_WINDOW, Math.max(1, seat.window * (1 + step)));
+        }
+    }
+
     private void trust(Duration now, Seat seat) {
         seat.lastWord = now;
         seat.strikes = 0;
