--- /dev/null
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -0,0 +1,234 @@
+package weldcross.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static weldcross.routing.Rig.ms;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import weldcross.routing.MethodRow.Effect;
+import weldcross.routing.MethodRow.Need;
+import weldcross.routing.MethodRow.Scope;
+
+class RouterTest {
+
+    /** Random lives under drawn terms; the rig checks rules 1, 2, 3 and 5 at every call. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    void keepsTheRulesThroughRandomLives(long seed) {
+        SplittableRandom dice = new SplittableRandom(seed);
+        Effect effect = Effect.values()[dice.nextInt(3)];
+        Scope scope = Scope.values()[dice.nextInt(3)];
+        Rig rig = new Rig(Rig.terms(effect, scope, dice.nextBoolean(), dice.nextBoolean(), dice.nextBoolean()), seed);
+        for (int k = 0; k < 6; k++) {
+            Rig.Server server = new Rig.Server(k, k / 3);
+            server.told = Condition.ON;
+            server.primary = k % 3 == 0;
+            rig.servers.put(server.id.name(), server);
+        }
+        rig.list();
+        for (int k = 0; k < 6000; k++) {
+            rig.step(dice);
+        }
+        rig.wait(Rig.DEADLINE.plus(ms(50)));
+        assertTrue(rig.unanswered().isEmpty(), "rule 1: no answer for " + rig.unanswered().keySet());
+        assertTrue(rig.rpcs.values().stream().filter(e -> "ok".equals(e.answer)).count() > 50, "it does serve");
+    }
+
+    @Test
+    void sameEventsGiveTheSameCalls() {
+        List<List<String>> lives = new ArrayList<>();
+        for (int k = 0; k < 2; k++) {
+            Rig rig = Rig.settled();
+            SplittableRandom dice = new SplittableRandom(3);
+            List<String> sent = new ArrayList<>();
+            for (int n = 0; n < 1500; n++) {
+                rig.arrive(Need.values()[dice.nextInt(5)], 0, Duration.ZERO);
+                rig.out.forEach(s -> sent.add(s.rpc() + s.server().id.name()));
+                rig.wait(ms(dice.nextInt(9)));
+                new ArrayList<>(rig.out).stream().skip(2).forEach(s -> rig.end(s, Outcome.OK));
+            }
+            lives.add(sent);
+        }
+        assertEquals(lives.get(0), lives.get(1));
+    }
+
+    @Test
+    void sessionReadGoesToAReplicaThatHoldsItsToken() {
+        Rig rig = Rig.settled();
+        rig.wait(ms(200));
+        rig.report(rig.server(2), rig.now.minus(ms(40)));
+        assertEquals("s2", rig.only(rig.arrive(Need.SESSION, 0, ms(50))).server().id.name());
+    }
+
+    @Test
+    void sessionReadGoesToThePrimaryWhenNoReplicaHoldsItsToken() {
+        Rig rig = Rig.settled();
+        rig.wait(ms(200));
+        assertEquals("s0", rig.only(rig.arrive(Need.SESSION, 0, ms(50))).server().id.name());
+    }
+
+    @Test
+    void aTokenIsKeptFromTheWriteAnswer() {
+        Rig rig = Rig.settled(Rig.terms(Effect.NON_IDEMPOTENT, Scope.GROUP, true, false, false));
+        assertFalse(rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().primary);
+        rig.wait(ms(10));
+        rig.end(rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)), Outcome.OK);
+        assertTrue(rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().primary);
+        rig.report(rig.server(1), rig.now);
+        assertEquals("s1", rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().id.name());
+    }
+
+    @Test
+    void boundedReadSpillsToThePrimaryWhenEveryReplicaLags() {
+        Rig rig = Rig.settled();
+        rig.wait(Rig.BOUND.minus(ms(1)));
+        assertFalse(rig.only(rig.arrive(Need.BOUNDED, 0, Duration.ZERO)).server().primary);
+        rig.wait(ms(1));
+        assertTrue(rig.only(rig.arrive(Need.BOUNDED, 0, Duration.ZERO)).server().primary);
+    }
+
+    @Test
+    void freshReadGoesToThePrimary() {
+        Rig rig = Rig.settled();
+        rig.wait(ms(1));
+        assertEquals("s0", rig.only(rig.arrive(Need.FRESH, 0, Duration.ZERO)).server().id.name());
+    }
+
+    @Test
+    void theLeastBusyReplicaIsPicked() {
+        Rig rig = Rig.settled();
+        String first = rig.only(rig.arrive(Need.ANY, 0, Duration.ZERO)).server().id.name();
+        String second = rig.only(rig.arrive(Need.ANY, 0, Duration.ZERO)).server().id.name();
+        assertEquals(List.of("s1", "s2"), List.of(first, second).stream().sorted().toList());
+    }
+
+    @Test
+    void aFreshRouterProbesEveryMemberAndHoldsReadsUntilOneAnswers() {
+        Rig rig = new Rig(Rig.terms(Effect.NON_IDEMPOTENT, Scope.GROUP, true, true, false), 1);
+        for (int k = 0; k < 3; k++) {
+            Rig.Server server = new Rig.Server(k, 0);
+            server.told = Condition.ON;
+            rig.servers.put(server.id.name(), server);
+        }
+        rig.list();
+        assertEquals(3, rig.probes.size());
+        String read = rig.arrive(Need.BOUNDED, 0, Duration.ZERO);
+        assertTrue(rig.rpcs.get(read).out.isEmpty());
+        rig.report(rig.server(1), rig.now);
+        assertEquals("s1", rig.only(read).server().id.name());
+    }
+
+    @Test
+    void aReplicaClaimFromBehindAPrimaryClaimIsOld() {
+        Rig rig = Rig.settled();
+        rig.router.reported(rig.now, rig.server(0).id, rig.now.minus(ms(20)), false);
+        assertEquals("s0", rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)).server().id.name());
+        rig.router.reported(rig.now, rig.server(0).id, rig.now, false);
+        rig.server(0).toldPrimary = false;
+        rig.router.reported(rig.now, rig.server(1).id, rig.now, true);
+        assertEquals("s1", rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)).server().id.name());
+    }
+
+    @Test
+    void aWriteThatMayHaveRunIsAbortedAtOnce() {
+        Rig rig = Rig.settled();
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.end(rig.only(write), Outcome.CUT);
+        assertEquals("aborted", rig.rpcs.get(write).answer);
+    }
+
+    @Test
+    void aWriteThatNeverRanWaitsForThePrimary() {
+        Rig rig = Rig.settled();
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.server(0).primary = false;
+        rig.end(rig.only(write), Outcome.MISS);
+        for (Rig.Sent sent = rig.only(write); sent != null; sent = first(rig, write)) {
+            rig.end(sent, Outcome.MISS);
+        }
+        assertNull(rig.rpcs.get(write).answer);
+        rig.server(2).primary = true;
+        rig.report(rig.server(2), rig.now);
+        assertEquals("s2", rig.only(write).server().id.name());
+    }
+
+    /** Jams: a window per server keeps the rest in the gateway, where what cannot make it is given up. */
+    @Test
+    void aServerThatSlowsDownGetsFewerAndTheRestIsPushedBack() {
+        Rig rig = Rig.settled();
+        for (int k = 0; k < 200; k++) {
+            rig.arrive(Need.FRESH, 0, Duration.ZERO);
+            rig.wait(ms(10));
+            List<Rig.Sent> old = rig.out.stream().filter(s -> s.at().plus(ms(390)).compareTo(rig.now) <= 0).toList();
+            old.forEach(s -> rig.end(s, Outcome.OK));
+        }
+        assertTrue(rig.out.size() <= 3, "in flight at a slow server: " + rig.out.size());
+        assertTrue(rig.rpcs.values().stream().anyMatch(e -> "pushed back".equals(e.answer)));
+    }
+
+    /** Against servers that take work and answer nothing. */
+    @Test
+    void aSilentServerIsSetAsideAndItsReadsGoOutAgain() {
+        Rig rig = Rig.settled();
+        for (int k = 0; k < 40; k++) {
+            Rig.Sent quick = rig.only(rig.arrive(Need.ANY, 0, Duration.ZERO));
+            rig.wait(ms(10));
+            rig.end(quick, Outcome.OK);
+        }
+        String read = rig.arrive(Need.ANY, 0, Duration.ZERO);
+        Rig.Server hung = rig.only(read).server();
+        rig.wait(ms(200));
+        assertEquals(2, rig.rpcs.get(read).sent);
+        for (int k = 0; k < 6; k++) {
+            assertFalse(hung == rig.only(rig.arrive(Need.ANY, 0, Duration.ZERO)).server());
+        }
+    }
+
+    /** Rule 4: a gateway's share, from its own share of what warm servers do. */
+    @Test
+    void aColdServerGetsNoMoreThanItsBudget() {
+        Rig rig = Rig.settled();
+        for (int k = 0; k < 3000; k++) {
+            if (k == 1500) {
+                rig.server(2).start = rig.now;
+                rig.list();
+                rig.server(2).coldSends.clear();
+            }
+            if (k % 20 == 0) {
+                rig.servers.values().forEach(s -> rig.report(s, rig.now));
+            }
+            rig.arrive(Need.ANY, 0, Duration.ZERO);
+            rig.wait(ms(2));
+            new ArrayList<>(rig.out).stream().filter(s -> s.at().plus(ms(8)).compareTo(rig.now) <= 0)
+                    .forEach(s -> rig.end(s, Outcome.OK));
+            // 500 a second over two replicas, of which the cold one can take a quarter, rising evenly.
+            double age = rig.now.minus(rig.server(2).start == null ? rig.now : rig.server(2).start).toMillis() / 6000.0;
+            assertTrue(rig.server(2).coldSends.size() <= 2 * (0.25 + 0.75 * age) * 250 * 1.05);
+        }
+        assertFalse(rig.server(2).coldSends.isEmpty());
+    }
+
+    @Test
+    void aFailedListCallIsAskedAgainWithoutFlooding() {
+        Rig rig = new Rig(Rig.terms(Effect.NON_IDEMPOTENT, Scope.GROUP, true, true, true), 1);
+        assertEquals(1, rig.watches);
+        for (int k = 0; k < 8; k++) {
+            rig.router.listFailed(rig.now);
+            rig.wait(rig.terms.askWithin());
+        }
+        assertEquals(9, rig.watches);
+    }
+
+    private static Rig.Sent first(Rig rig, String rpc) {
+        List<Rig.Sent> sent = rig.rpcs.get(rpc).out;
+        return sent.isEmpty() ? null : sent.get(0);
+    }
+}
