--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -93,6 +93,7 @@
         boolean heard;
         int turn;
         Duration nextRound = Duration.ZERO;
+        Duration lastRead = Duration.ZERO;
     }
 
     private static final class CallOut {
@@ -249,6 +250,7 @@
                 rpc.token = now.minus(sinceWrite);
             }
         }
+        group.lastRead = row.need() == Need.WRITE ? group.lastRead : now;
         open.put(id, rpc);
         dueAt(now, rpc.lastSend, rpc);
         route(now, rpc);
@@ -408,8 +410,13 @@
     }
 
     private void probeIfOld(Duration now, Seat seat) {
-        boolean old = seat.pos == null || now.minus(seat.pos).compareTo(probeAfter) > 0;
-        boolean asked = seat.probing || seat.probedAt != null && now.minus(seat.probedAt).compareTo(probeAfter) < 0;
+        Group group = seat.group;
+        // A position is wanted where reads come; of a trusted primary, or where none come, only the role.
+        boolean lost = group.primary == null || group.primary.doubted;
+        boolean wanted = now.minus(group.lastRead).compareTo(IDLE_PROBE) < 0 && seat != group.primary;
+        Duration span = wanted || lost ? probeAfter : probeAfter.compareTo(IDLE_PROBE) > 0 ? probeAfter : IDLE_PROBE;
+        boolean old = seat.pos == null || lost || now.minus(seat.pos).compareTo(span) > 0;
+        boolean asked = seat.probing || seat.probedAt != null && now.minus(seat.probedAt).compareTo(span) < 0;
         if (terms.probes() && old && !asked) {
             seat.probing = true;
             seat.probedAt = now;
