In overload send the newest first, and give up what the usual time no longer allows

Change: overload is told by the oldest held RPC's wait; then newest first. What cannot be answered in a usual time is given up at once. Value is utility over the soft deadline.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -43,6 +44,10 @@
     private static final double WIDEST_WINDOW = 1000;
     /** What a client's repeat is valued at: its soft deadline runs from the first try and has mostly passed. */
     private static final double REPEAT_VALUE = 0.3;
+    /** The oldest held RPC has waited this part of its soft deadline: overload. */
+    private static final double LONG_WAIT = 0.25;
+    /** How far one call-out moves what its method is taken to need. */
+    private static final double PACE_GAIN = 0.05;
     /** As many answers overdue mean silence: by chance alone fewer than one in a hundred would come to it. */
     private static final double OVERDUE_ANSWERS = 5;
     /** What part of the fall budget is used: the rest covers handshakes, probes and uneven RPCs. */
@@ -519,7 +524,15 @@
     }
 
     private void release(Duration now, Group group) {
+        if (group.held.isEmpty()) {
+            return;
+        }
         List<Rpc> waiting = new ArrayList<>(group.held);
+        // Overload: taken oldest first, everything would go out when it is almost too late.
+        Rpc oldest = waiting.get(0);
+        if (seconds(now.minus(oldest.arrived)) > LONG_WAIT * seconds(oldest.row.softDeadline())) {
+            Collections.reverse(waiting);
+        }
         waiting.sort(Comparator.comparingDouble(rpc -> -value(now, rpc)));
         for (Rpc rpc : waiting) {
             if (!rpc.answered && !hopeless(now, rpc)) {
@@ -528,15 +541,15 @@
         }
     }
 
-    /** Utility for a server's time: what is held goes out by it, the oldest of equals first. */
+    /** Utility for a server's time, which soft deadlines are set by: what is held goes out in this order. */
     private double value(Duration now, Rpc rpc) {
         boolean late = now.compareTo(rpc.arrived.plus(rpc.row.softDeadline())) >= 0;
-        return rpc.worth * (late ? rpc.row.lateUtility() : 1) / work(rpc);
+        return rpc.worth * (late ? rpc.row.lateUtility() : 1) / seconds(rpc.row.softDeadline());
     }
 
     /** Gives up at once what could no longer be answered in time, so that no server works on it in vain. */
     private boolean hopeless(Duration now, Rpc rpc) {
-        boolean over = seconds(rpc.giveUpAt.minus(now)) < work(rpc) / 2 && pace[rpc.method] > 0;
+        boolean over = seconds(rpc.giveUpAt.minus(now)) < pace[rpc.method];
         if (over) {
             giveUp(rpc);
         }
@@ -662,10 +675,12 @@
 
     private void judge(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
         widen(seat, callOut, outcome, took);
+        int m = callOut.rpc.method;
+        if (outcome == Outcome.OK || !outcome.neverRan && seconds(took) > pace[m]) {
+            pace[m] = pace[m] == 0 ? seconds(took) : pace[m] + PACE_GAIN * (seconds(took) - pace[m]);
+        }
         switch (outcome) {
             case OK -> {
-                int m = callOut.rpc.method;
-                pace[m] = pace[m] == 0 ? seconds(took) : pace[m] + 0.05 * (seconds(took) - pace[m]);
                 workDone += cold(now, seat) ? 0 : callOut.work;
                 extra = Math.min(EXTRA_SAVED, extra + EXTRA_PER_OK);
                 trust(now, seat);
