Probe by need: the replica a read would go to, while the read waits briefly

Change: a read that needs a position probes the replica it would go to, once that is older than a quarter of the tightest bound, and waits for the answer at most 30 ms before it spills. Near equals, the one known freshest is taken, so one probe serves several reads. Could harm where probes are slow: a read then waits 30 ms in vain.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -29,6 +29,8 @@
 
     /** The beat of the periodic work; positions are looked at and held RPCs tried again this often. */
     private static final Duration BEAT = Duration.ofMillis(25);
+    /** A read waits this long at most for a probe under way, before it goes to the primary. */
+    private static final Duration BRIEF_HOLD = Duration.ofMillis(30);
     /** Between two rounds of a write over members of which none took it. */
     private static final Duration SHORT_WAIT = Duration.ofMillis(100);
     /** Between probes where no bound says how old a known position may grow. */
@@ -98,7 +100,6 @@
         boolean heard;
         int turn;
         Duration nextRound = Duration.ZERO;
-        Duration lastRead = Duration.ZERO;
     }
 
     private static final class CallOut {
@@ -255,7 +256,6 @@
                 rpc.token = now.minus(sinceWrite);
             }
         }
-        group.lastRead = row.need() == Need.WRITE ? group.lastRead : now;
         open.put(id, rpc);
         dueAt(now, rpc.lastSend, rpc);
         route(now, rpc);
@@ -346,8 +346,8 @@
         }
         if (first || group.primary != before) {
             group.nextRound = now;
-            release(now, group);
         }
+        release(now, group);
     }
 
     // ---- Time
@@ -404,7 +404,7 @@
     private void beat(Duration now) {
         for (Seat seat : seats.values()) {
             if (seat.listed && !seat.draining) {
-                probeIfOld(now, seat);
+                probeIfUnknown(now, seat);
             }
             if (!seat.doubted && silent(now, seat)) {
                 doubt(now, seat);
@@ -414,15 +414,41 @@
         groups.values().forEach(g -> release(now, g));
     }
 
-    private void probeIfOld(Duration now, Seat seat) {
-        Group group = seat.group;
-        // A position is wanted where reads come; of a trusted primary, or where none come, only the role.
-        boolean lost = group.primary == null || group.primary.doubted;
-        boolean wanted = now.minus(group.lastRead).compareTo(IDLE_PROBE) < 0 && seat != group.primary;
-        Duration span = wanted || lost ? probeAfter : probeAfter.compareTo(IDLE_PROBE) > 0 ? probeAfter : IDLE_PROBE;
-        boolean old = seat.pos == null || lost || now.minus(seat.pos).compareTo(span) > 0;
-        boolean asked = seat.probing || seat.probedAt != null && now.minus(seat.probedAt).compareTo(span) < 0;
-        if (terms.probes() && old && !asked) {
+    /** Roles are asked for where no trusted primary is known, and of whom nothing is known; the rest by need. */
+    private void probeIfUnknown(Duration now, Seat seat) {
+        Seat primary = seat.group.primary;
+        if (seat.pos == null || primary == null || primary.doubted) {
+            probe(now, seat, seat.group.held.isEmpty() && seat.pos != null ? IDLE_PROBE : SHORT_WAIT);
+        }
+    }
+
+    /**
+     * Probes the replica that would be picked, once its known position is older than a quarter of the
+     * tightest bound. Against probes that no read needs; a gateway with few reads pays a probe a read.
+     * True while an answer is worth a brief wait.
+     */
+    private boolean refreshed(Duration now, Rpc rpc) {
+        boolean byPosition = rpc.row.need() == Need.BOUNDED || rpc.row.need() == Need.SESSION && rpc.token != null;
+        if (!byPosition || !terms.probes()) {
+            return false;
+        }
+        Seat next = null;
+        for (Seat seat : rpc.group.seats) {
+            if (seat != rpc.group.primary && seat.listed && !seat.draining && !seat.doubted
+                    && !rpc.tried.contains(seat) && (next == null || lessBusy(seat, next))) {
+                next = seat;
+            }
+        }
+        boolean old = next != null && (next.pos == null || now.minus(next.pos).compareTo(probeAfter) > 0);
+        if (old && (rpc.row.need() == Need.BOUNDED || !holds(now, rpc, next))) {
+            probe(now, next, probeAfter);
+        }
+        return next != null && next.probing && now.minus(rpc.arrived).compareTo(BRIEF_HOLD) < 0;
+    }
+
+    private void probe(Duration now, Seat seat, Duration gap) {
+        boolean asked = seat.probing || seat.probedAt != null && now.minus(seat.probedAt).compareTo(gap) < 0;
+        if (terms.probes() && !asked) {
             seat.probing = true;
             seat.probedAt = now;
             host.probe(seat.id);
@@ -446,7 +472,8 @@
                 best = seat;
             }
         }
-        return best != null || group.primary == null ? best : ready(now, rpc, group.primary);
+        boolean soon = refreshed(now, rpc);
+        return best != null || soon || group.primary == null ? best : ready(now, rpc, group.primary);
     }
 
     /** Whether a replica's known position is enough for the read. */
@@ -461,13 +488,16 @@
         };
     }
 
-    /** Crossing zones costs, so the nearer of equals is taken; chance splits the rest. */
+    /** Crossing zones costs, so the nearer of equals is taken, then the one that needs no probe yet. */
     private boolean lessBusy(Seat a, Seat b) {
         if (a.reads != b.reads) {
             return a.reads < b.reads;
         }
         boolean nearA = a.zone.equals(terms.zone());
-        return nearA != b.zone.equals(terms.zone()) ? nearA : dice.nextBoolean();
+        if (nearA != b.zone.equals(terms.zone()) || a.pos == null || b.pos == null) {
+            return nearA;
+        }
+        return a.pos.equals(b.pos) ? dice.nextBoolean() : a.pos.compareTo(b.pos) > 0;
     }
 
     /** No primary is known: the members in turn, and after a round a short wait, one write at a time. */
