--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -42,7 +42,10 @@
     private static final double EASE = 0.30;
     /** How far one answer moves a server's window, and where the window starts and ends. */
     private static final double WINDOW_GAIN = 0.12;
-    private static final double FIRST_WINDOW = 6;
+    private static final double FIRST_WINDOW = 12;
+    private static final double LEAST_WINDOW = 0.1;
+    /** A call-out is lost when one sent this many usual times later has been answered. */
+    private static final double LOST_TIMES = 4;
     private static final double WIDEST_WINDOW = 1000;
     /** What a client's repeat is valued at: its soft deadline runs from the first try and has mostly passed. */
     private static final double REPEAT_VALUE = 0.3;
@@ -84,7 +87,9 @@
         Duration trialAt;
         final ArrayDeque<CallOut> spent = new ArrayDeque<>();
         double spentWork;
-        double window = FIRST_WINDOW;
+        double window;
+        Duration restUntil = Duration.ZERO;
+        Duration answeredSent = Duration.ZERO;
 
         Seat(ServerId id, Group group) {
             this.id = id;
@@ -194,6 +199,7 @@
         Group group = groups.computeIfAbsent(groupId, g -> new Group());
         Seat seat = seats.computeIfAbsent(id, s -> {
             Seat made = new Seat(s, group);
+            made.window = Math.max(1, FIRST_WINDOW / terms.gateways());
             group.seats.add(made);
             return made;
         });
@@ -640,11 +646,24 @@
 
     /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
     private Seat ready(Duration now, Rpc rpc, Seat seat) {
-        boolean fits = seat.listed && !seat.draining && seat.out.size() < (int) seat.window && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
+        boolean fits = seat.listed && !seat.draining && roomy(now, seat) && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
                 && trusted(now, rpc, seat) && coldRoom(now, rpc, seat);
         return fits ? seat : null;
     }
 
+    private boolean roomy(Duration now, Seat seat) {
+        long inWork = seat.out.stream().filter(c -> !lost(c)).count();
+        return inWork < Math.max(1, (int) seat.window) && now.compareTo(seat.restUntil) >= 0;
+    }
+
+    /**
+     * Whether the answer seems lost: much younger call-outs have been answered. Lost answers would fill a
+     * window until their deadlines, seconds later; where one RPC is only very long, one more goes out.
+     */
+    private boolean lost(CallOut c) {
+        return seconds(c.seat.answeredSent.minus(c.sent)) > LOST_TIMES * work(c.rpc);
+    }
+
     private boolean maySend(Duration now, Rpc rpc, Seat seat) {
         if (rpc.out > 0 && !terms.parallelCallOuts()) {
             return false;
@@ -704,7 +723,7 @@
     }
 
     private void judge(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
-        widen(seat, callOut, outcome, took);
+        widen(now, seat, callOut, outcome, took);
         int m = callOut.rpc.method;
         if (outcome == Outcome.OK || !outcome.neverRan && seconds(took) > pace[m]) {
             pace[m] = pace[m] == 0 ? seconds(took) : pace[m] + PACE_GAIN * (seconds(took) - pace[m]);
@@ -713,9 +732,9 @@
             case OK -> {
                 workDone += cold(now, seat) ? 0 : callOut.work;
                 extra = Math.min(EXTRA_SAVED, extra + EXTRA_PER_OK);
-                trust(now, seat);
+                trust(now, seat, callOut);
             }
-            case MISS -> trust(now, seat);
+            case MISS -> trust(now, seat, callOut);
             case ERROR, NO_ROOM -> {
                 seat.lastWord = now;
                 if (++seat.strikes > 1) {
@@ -738,18 +757,21 @@
      * Against queues in servers, where nothing can be chosen any more; harmful if soft deadlines are set
      * far from what the work takes.
      */
-    private void widen(Seat seat, CallOut callOut, Outcome outcome, Duration took) {
+    private void widen(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
         if (outcome.neverRan && outcome != Outcome.NO_ROOM) {
             return;
         }
         double strain = outcome == Outcome.NO_ROOM ? 1 : seconds(took) / seconds(callOut.rpc.row.softDeadline());
         double step = WINDOW_GAIN * (EASE - Math.min(1, strain));
+        // Under one, the server rests between call-outs: many gateways with one each would still be too many.
+        seat.restUntil = seat.window < 1 ? now.plusNanos((long) (took.toNanos() * (1 / seat.window - 1))) : now;
         if (step < 0 || seat.out.size() + 2 > seat.window) {
-            seat.window = Math.min(WIDEST_WINDOW, Math.max(1, seat.window * (1 + step)));
+            seat.window = Math.min(WIDEST_WINDOW, Math.max(LEAST_WINDOW, seat.window * (1 + step)));
         }
     }
 
-    private void trust(Duration now, Seat seat) {
+    private void trust(Duration now, Seat seat, CallOut answered) {
+        seat.answeredSent = seat.answeredSent.compareTo(answered.sent) > 0 ? seat.answeredSent : answered.sent;
         seat.lastWord = now;
         seat.strikes = 0;
         seat.doubted = false;
