--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -683,7 +683,7 @@
         // Trials go by RPCs that may run again; a write only when no read has come by for as long again.
         Duration due = !seat.doubted ? now : rpc.row.effect() == Effect.IDEMPOTENT ? seat.trialAt
                 : seat.trialAt.plus(seat.doubt);
-        return !seat.doubted || seat.out.isEmpty() && now.compareTo(due) >= 0;
+        return !seat.doubted || now.compareTo(due) >= 0;
     }
 
     private boolean cold(Duration now, Seat seat) {
@@ -711,14 +711,19 @@
         return pace[rpc.method] > 0 ? pace[rpc.method] : 1;
     }
 
-    /** Silence: several answers are overdue from this server, by what RPCs have taken. */
+    /**
+     * Silence: several answers are overdue from this server, by what RPCs have taken. Only call-outs younger
+     * than the last one answered tell of it; one answer lost must not make its server look hung.
+     */
     private boolean silent(Duration now, Seat seat) {
-        if (seat.out.isEmpty()) {
-            return false;
+        double expected = 0;
+        Duration since = seat.lastWord;
+        for (CallOut c : seat.out) {
+            if (c.sent.compareTo(seat.answeredSent) > 0) {
+                since = expected == 0 && c.sent.compareTo(since) > 0 ? c.sent : since;
+                expected += 1 / work(c.rpc);
+            }
         }
-        CallOut oldest = seat.out.iterator().next();
-        Duration since = oldest.sent.compareTo(seat.lastWord) > 0 ? oldest.sent : seat.lastWord;
-        double expected = seat.out.stream().mapToDouble(c -> 1 / work(c.rpc)).sum();
         return seconds(now.minus(since)) * expected > OVERDUE_ANSWERS;
     }
 
