Give lost answers another call-out and let them narrow no window

Change: a call-out overtaken by one sent three usual times later is lost; it does not count in the window, and an idempotent RPC goes out again, by the same budget as on a silent server and only where nothing is held. It should also help against single very slow servers and dropped replies; it could harm where work varies hugely, as long RPCs are then done twice.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -45,7 +45,7 @@
     private static final double FIRST_WINDOW = 12;
     private static final double LEAST_WINDOW = 0.1;
     /** A call-out is lost when one sent this many usual times later has been answered. */
-    private static final double LOST_TIMES = 4;
+    private static final double LOST_TIMES = 3;
     private static final double WIDEST_WINDOW = 1000;
     /** What a client's repeat is valued at: its soft deadline runs from the first try and has mostly passed. */
     private static final double REPEAT_VALUE = 0.3;
@@ -414,7 +414,9 @@
             }
             if (!seat.doubted && silent(now, seat)) {
                 doubt(now, seat);
-                rescue(now, seat);
+                new ArrayList<>(seat.out).forEach(c -> rescue(now, c));
+            } else if (seat.group.held.isEmpty()) {
+                seat.out.stream().filter(this::lost).toList().forEach(c -> rescue(now, c));
             }
         }
         groups.values().forEach(g -> release(now, g));
@@ -763,7 +765,7 @@
      * far from what the work takes.
      */
     private void widen(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
-        if (outcome.neverRan && outcome != Outcome.NO_ROOM) {
+        if (outcome.neverRan && outcome != Outcome.NO_ROOM || lost(callOut)) {
             return;
         }
         double strain = outcome == Outcome.NO_ROOM ? 1 : seconds(took) / seconds(callOut.rpc.row.softDeadline());
@@ -792,20 +794,21 @@
         seat.trialAt = now.plus(seat.doubt);
     }
 
-    /** Idempotent RPCs on a silent server get another call-out, as long as the rest answer well. */
-    private void rescue(Duration now, Seat seat) {
-        for (CallOut callOut : new ArrayList<>(seat.out)) {
-            Rpc rpc = callOut.rpc;
-            if (rpc.answered || rpc.row.effect() != Effect.IDEMPOTENT || rpc.out > 1 || extra < 1) {
-                continue;
-            }
-            if (terms.parallelCallOuts()) {
-                extra--;
-                route(now, rpc);
-            } else if (terms.cancels()) {
-                extra--;
-                host.cancel(rpc.id, callOut.number);
-            }
+    /**
+     * An idempotent RPC on a silent server, or whose answer seems lost, gets another call-out. Against hangs,
+     * lost answers and single slow servers; the budget keeps it from feeding an overload.
+     */
+    private void rescue(Duration now, CallOut callOut) {
+        Rpc rpc = callOut.rpc;
+        if (rpc.answered || rpc.row.effect() != Effect.IDEMPOTENT || rpc.out > 1 || extra < 1) {
+            return;
+        }
+        if (terms.parallelCallOuts()) {
+            extra--;
+            route(now, rpc);
+        } else if (terms.cancels()) {
+            extra--;
+            host.cancel(rpc.id, callOut.number);
         }
     }
 
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -226,6 +226,24 @@
         }
     }
 
+    /** Against answers that get lost: they fill no window, and their reads go out again. */
+    @Test
+    void aLostAnswerNeitherFillsTheWindowNorKeepsItsRead() {
+        Rig rig = Rig.settled();
+        List<String> lost = new ArrayList<>();
+        for (int k = 0; k < 300; k++) {
+            String read = rig.arrive(Need.FRESH, 0, Duration.ZERO);
+            rig.wait(ms(10));
+            if (k % 6 == 5) {
+                lost.add(read);
+            } else {
+                rig.end(rig.only(read), Outcome.OK);
+            }
+        }
+        assertTrue(rig.rpcs.values().stream().filter(e -> "ok".equals(e.answer)).count() == 250, "all others served");
+        assertTrue(lost.stream().noneMatch(read -> rig.rpcs.get(read).sent == 0));
+    }
+
     /** Rule 4: a gateway's share, from its own share of what warm servers do. */
     @Test
     void aColdServerGetsNoMoreThanItsBudget() {
