Put trials of a doubted server off for twice as long each time, and rescue them early

Cause: a trial that timed out did not lengthen the doubt, so a hung server got a read every 200 ms, each lost; a rescue that found no server still cost budget.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -55,6 +55,7 @@
     private static final double PACE_GAIN = 0.05;
     /** As many answers overdue mean silence: by chance alone fewer than one in a hundred would come to it. */
     private static final double OVERDUE_ANSWERS = 5;
+    private static final double OVERDUE_TRIAL = 2;
     /** What part of the fall budget is used: the rest covers handshakes, probes and uneven RPCs. */
     private static final double COLD_MARGIN = 0.5;
     /** Over this time the work that warm servers do is averaged. */
@@ -107,20 +108,9 @@
         Duration nextRound = Duration.ZERO;
     }
 
-    private static final class CallOut {
-        final Rpc rpc;
-        final Seat seat;
-        final int number;
-        final Duration sent;
-        final double work;
-        boolean over;
-
-        CallOut(Rpc rpc, Seat seat, int number, Duration sent, double work) {
-            this.rpc = rpc;
-            this.seat = seat;
-            this.number = number;
-            this.sent = sent;
-            this.work = work;
+    private record CallOut(Rpc rpc, Seat seat, int number, Duration sent, double work) {
+        boolean isOut() {
+            return seat.out.contains(this);
         }
     }
 
@@ -270,12 +260,11 @@
     public void callOutEnded(Duration now, RpcId id, int number, ServerId server, Outcome outcome, Duration took,
             Boolean primary, Duration pos, boolean ended) {
         Rpc rpc = open.get(id);
-        if (rpc == null || number >= rpc.callOuts.size() || rpc.callOuts.get(number).over) {
+        if (rpc == null || number >= rpc.callOuts.size() || !rpc.callOuts.get(number).isOut()) {
             return;
         }
         CallOut callOut = rpc.callOuts.get(number);
         Seat seat = callOut.seat;
-        callOut.over = true;
         rpc.out--;
         seat.out.remove(callOut);
         if (rpc.row.need() != Need.WRITE) {
@@ -412,12 +401,10 @@
             if (seat.listed && !seat.draining) {
                 probeIfUnknown(now, seat);
             }
-            if (!seat.doubted && silent(now, seat)) {
-                doubt(now, seat);
-                new ArrayList<>(seat.out).forEach(c -> rescue(now, c));
-            } else if (seat.group.held.isEmpty()) {
-                seat.out.stream().filter(this::lost).toList().forEach(c -> rescue(now, c));
-            }
+            boolean hung = silent(now, seat);
+            suspect(now, seat, hung);
+            boolean calm = seat.group.held.isEmpty();
+            seat.out.stream().filter(c -> hung || calm && lost(c)).toList().forEach(c -> rescue(now, c));
         }
         groups.values().forEach(g -> release(now, g));
     }
@@ -556,7 +543,7 @@
             seat.spentWork += callOut.work;
         }
         if (seat.doubted) {
-            seat.trialAt = now.plus(seat.doubt);
+            doubt(now, seat);
         }
         host.callOut(rpc.id, seat.id, rpc.giveUpAt);
     }
@@ -637,7 +624,7 @@
         rpc.answered = true;
         rpc.group.held.remove(rpc);
         if (terms.cancels()) {
-            rpc.callOuts.stream().filter(c -> !c.over).forEach(c -> host.cancel(rpc.id, c.number));
+            rpc.callOuts.stream().filter(CallOut::isOut).forEach(c -> host.cancel(rpc.id, c.number));
         }
         if (rpc.out == 0) {
             open.remove(rpc.id);
@@ -648,8 +635,8 @@
 
     /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
     private Seat ready(Duration now, Rpc rpc, Seat seat) {
-        boolean fits = seat.listed && !seat.draining && roomy(now, seat) && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
-                && trusted(now, rpc, seat) && coldRoom(now, rpc, seat);
+        boolean fits = seat.listed && !seat.draining && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
+                && trusted(now, rpc, seat) && roomy(now, seat) && coldRoom(now, rpc, seat);
         return fits ? seat : null;
     }
 
@@ -726,7 +713,8 @@
                 expected += 1 / work(c.rpc);
             }
         }
-        return seconds(now.minus(since)) * expected > OVERDUE_ANSWERS;
+        // Of a server in doubt less proves that the trial has failed.
+        return seconds(now.minus(since)) * expected > (seat.doubted ? OVERDUE_TRIAL : OVERDUE_ANSWERS);
     }
 
     private void judge(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
@@ -744,14 +732,12 @@
             case MISS -> trust(now, seat, callOut);
             case ERROR, NO_ROOM -> {
                 seat.lastWord = now;
-                if (++seat.strikes > 1) {
-                    doubt(now, seat);
-                }
+                suspect(now, seat, ++seat.strikes > 1);
             }
             case NO_ROUTE, CUT -> {
                 // A process that is not there may come back cold before the list says so.
                 seat.coldSince = now;
-                doubt(now, seat);
+                suspect(now, seat, true);
             }
             default -> {
             }
@@ -785,13 +771,18 @@
         seat.doubt = FIRST_DOUBT;
     }
 
-    private void doubt(Duration now, Seat seat) {
-        if (seat.doubted && now.compareTo(seat.trialAt) >= 0) {
-            seat.doubt = seat.doubt.multipliedBy(2).compareTo(LONGEST_DOUBT) < 0 ? seat.doubt.multipliedBy(2)
-                    : LONGEST_DOUBT;
+    private void suspect(Duration now, Seat seat, boolean bad) {
+        if (bad && !seat.doubted) {
+            doubt(now, seat);
         }
-        seat.doubted = true;
+    }
+
+    /** Each trial that is sent puts the next one off for twice as long, until an answer comes. */
+    private void doubt(Duration now, Seat seat) {
         seat.trialAt = now.plus(seat.doubt);
+        Duration twice = seat.doubt.multipliedBy(2);
+        seat.doubt = twice.compareTo(LONGEST_DOUBT) < 0 ? twice : LONGEST_DOUBT;
+        seat.doubted = true;
     }
 
     /**
@@ -804,8 +795,8 @@
             return;
         }
         if (terms.parallelCallOuts()) {
-            extra--;
             route(now, rpc);
+            extra -= rpc.out - 1;
         } else if (terms.cancels()) {
             extra--;
             host.cancel(rpc.id, callOut.number);
