--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -49,8 +49,6 @@
     private static final double WIDEST_WINDOW = 1000;
     /** What a client's repeat is valued at: its soft deadline runs from the first try and has mostly passed. */
     private static final double REPEAT_VALUE = 0.3;
-    /** A tenant may save up this many RPCs of its share. */
-    private static final double SHARE_BURST = 10;
     /** The oldest held RPC has waited this part of its soft deadline: overload. */
     private static final double LONG_WAIT = 0.25;
     /** How far one call-out moves what its method is taken to need. */
@@ -157,8 +155,6 @@
     private final TreeMap<Duration, List<Rpc>> dues = new TreeMap<>();
     private final LinkedHashMap<SessionId, Duration> tokens = new LinkedHashMap<>();
     private final double[] pace;
-    private final double[] shares;
-    private final double[] credit;
     private Duration floor;
     private Duration wakeAt;
     private Duration askAt;
@@ -173,9 +169,6 @@
         this.terms = terms;
         this.dice = new SplittableRandom(seed);
         this.pace = new double[terms.methods().size()];
-        double all = terms.tenantRates().stream().mapToDouble(r -> r).sum();
-        this.shares = terms.tenantRates().stream().mapToDouble(r -> r / all).toArray();
-        this.credit = new double[shares.length];
         this.probeAfter = terms.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .map(m -> m.bound().dividedBy(4)).min(Duration::compareTo).orElse(IDLE_PROBE);
         this.askWait = terms.askWithin().dividedBy(16);
@@ -251,7 +244,7 @@
         // What is still held is answered a beat before the client gives up, not in the same moment.
         Duration last = deadline.minus(BEAT);
         Rpc rpc = new Rpc(id, method, row, group, session, now, giveUpAt,
-                giveUpAt.compareTo(last) < 0 ? giveUpAt : last, row.utility() * (repeat ? REPEAT_VALUE : 1) * shareValue(tenant));
+                giveUpAt.compareTo(last) < 0 ? giveUpAt : last, row.utility() * (repeat ? REPEAT_VALUE : 1));
         if (row.need() == Need.SESSION) {
             if (!terms.tokensCarried()) {
                 rpc.token = tokens.getOrDefault(session, floor);
@@ -264,25 +257,6 @@
         route(now, rpc);
     }
 
-    /**
-     * What an RPC is worth by its tenant's share. Each RPC gives every tenant the part of a credit that is its
-     * share, and takes one from its own. Against a tenant that crowds out the others; shares a second are not
-     * used, as no gateway knows its part of them. It only orders what is held, so it is harmless at ease.
-     */
-    private double shareValue(TenantId tenant) {
-        for (int k = 0; k < credit.length; k++) {
-            credit[k] = Math.min(SHARE_BURST, credit[k] + shares[k]);
-        }
-        int own = tenant.number();
-        if (own < credit.length && credit[own] < 1) {
-            return terms.overShareUtility();
-        }
-        if (own < credit.length) {
-            credit[own]--;
-        }
-        return 1;
-    }
-
     public void callOutEnded(Duration now, RpcId id, int number, ServerId server, Outcome outcome, Duration took,
             Boolean primary, Duration pos, boolean ended) {
         Rpc rpc = open.get(id);
