--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -57,7 +57,7 @@
     private static final double OVERDUE_ANSWERS = 5;
     private static final double OVERDUE_TRIAL = 2;
     /** What part of the fall budget is used: the rest covers handshakes, probes and uneven RPCs. */
-    private static final double COLD_MARGIN = 0.5;
+    private static final double COLD_MARGIN = 0.75;
     /** Over this time the work that warm servers do is averaged. */
     private static final Duration PACE_SPAN = Duration.ofSeconds(4);
     /** Further call-outs earned by each ok, and how many may be saved up. */
