Count a method for more the less of it has been served

It could harm where the method served least is also the dearest. The test's mutant (order by utility alone) serves 3 writes of 200 where this serves 12.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -51,6 +51,8 @@
     private static final double REPEAT_VALUE = 0.3;
     /** The oldest held RPC has waited this part of its soft deadline: overload. */
     private static final double LONG_WAIT = 0.25;
+    /** No method counts for more than this makes it, however little of it has been served. */
+    private static final double LEAST_SERVED = 0.3;
     /** How far one call-out moves what its method is taken to need. */
     private static final double PACE_GAIN = 0.05;
     /** As many answers overdue mean silence: by chance alone fewer than one in a hundred would come to it. */
@@ -155,6 +157,7 @@
     private final TreeMap<Duration, List<Rpc>> dues = new TreeMap<>();
     private final LinkedHashMap<SessionId, Duration> tokens = new LinkedHashMap<>();
     private final double[] pace;
+    private final double[] served;
     private Duration floor;
     private Duration wakeAt;
     private Duration askAt;
@@ -169,6 +172,7 @@
         this.terms = terms;
         this.dice = new SplittableRandom(seed);
         this.pace = new double[terms.methods().size()];
+        this.served = new double[terms.methods().size()];
         this.probeAfter = terms.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .map(m -> m.bound().dividedBy(4)).min(Duration::compareTo).orElse(IDLE_PROBE);
         this.askWait = terms.askWithin().dividedBy(16);
@@ -283,7 +287,7 @@
         }
         judge(now, seat, callOut, outcome, took);
         if (ended) {
-            close(rpc);
+            close(rpc, outcome == Outcome.OK);
         }
         if (!rpc.answered) {
             furtherCallOut(now, rpc, seat, outcome);
@@ -297,7 +301,7 @@
     public void clientLeft(Duration now, RpcId id) {
         Rpc rpc = open.get(id);
         if (rpc != null) {
-            close(rpc);
+            close(rpc, false);
         }
     }
 
@@ -566,10 +570,14 @@
         }
     }
 
-    /** Utility for a server's time, which soft deadlines are set by: what is held goes out in this order. */
+    /**
+     * Utility for a server's time, which soft deadlines are set by: what is held goes out in this order. The
+     * less of a method has been served the more it counts, against one method paying for all others.
+     */
     private double value(Duration now, Rpc rpc) {
         boolean late = now.compareTo(rpc.arrived.plus(rpc.row.softDeadline())) >= 0;
-        return rpc.worth * (late ? rpc.row.lateUtility() : 1) / seconds(rpc.row.softDeadline());
+        double utility = rpc.worth * (late ? rpc.row.lateUtility() : 1) / seconds(rpc.row.softDeadline());
+        return utility / (LEAST_SERVED + served[rpc.method]);
     }
 
     /** Gives up at once what could no longer be answered in time, so that no server works on it in vain. */
@@ -617,10 +625,14 @@
         } else {
             host.abort(rpc.id);
         }
-        close(rpc);
+        close(rpc, false);
     }
 
-    private void close(Rpc rpc) {
+    private void close(Rpc rpc, boolean ok) {
+        if (rpc.answered) {
+            return;
+        }
+        served[rpc.method] += PACE_GAIN * ((ok ? 1 : 0) - served[rpc.method]);
         rpc.answered = true;
         rpc.group.held.remove(rpc);
         if (terms.cancels()) {
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -226,6 +226,21 @@
         }
     }
 
+    /** Against one method paying for all others in overload. */
+    @Test
+    void theLessOfAMethodIsServedTheMoreItCounts() {
+        Rig rig = Rig.settled();
+        for (int k = 0; k < 400; k++) {
+            rig.arrive(k % 2 == 0 ? Need.FRESH : Need.WRITE, 0, Duration.ZERO);
+            rig.wait(ms(10));
+            List.copyOf(rig.out).stream().filter(s -> s.at().plus(ms(150)).compareTo(rig.now) <= 0)
+                    .forEach(s -> rig.end(s, Outcome.OK));
+        }
+        long writes = rig.rpcs.values().stream().filter(e -> e.row.need() == Need.WRITE && e.sent > 0).count();
+        long reads = rig.rpcs.values().stream().filter(e -> e.row.need() == Need.FRESH && e.sent > 0).count();
+        assertTrue(writes > 8 && reads > writes, "reads, worth twice a write: " + reads + ", writes: " + writes);
+    }
+
     /** Against answers that get lost: they fill no window, and their reads go out again. */
     @Test
     void aLostAnswerNeitherFillsTheWindowNorKeepsItsRead() {
