--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -238,7 +238,7 @@
     // ---- RPCs
 
     public void rpcArrived(Duration now, RpcId id, int method, GroupId groupId, SessionId session,
-            Duration sinceWrite, TenantId tenant, Duration patience, boolean repeat) {
+            Duration sinceWrite, Duration patience, boolean repeat) {
         MethodRow row = terms.methods().get(method);
         Duration deadline = now.plus(patience);
         Duration soft = now.plus(row.softDeadline());
@@ -290,7 +290,7 @@
             close(rpc, outcome == Outcome.OK);
         }
         if (!rpc.answered) {
-            furtherCallOut(now, rpc, seat, outcome);
+            furtherCallOut(now, rpc, outcome);
         }
         if (rpc.answered && rpc.out == 0) {
             open.remove(id);
@@ -307,7 +307,7 @@
 
     // ---- What servers say of themselves
 
-    public void probeEnded(Duration now, ServerId server, boolean ok) {
+    public void probeEnded(Duration now, ServerId server) {
         Seat seat = seats.get(server);
         if (seat != null) {
             seat.probing = false;
@@ -520,7 +520,7 @@
     // ---- Sending and answering
 
     private void route(Duration now, Rpc rpc) {
-        if (rpc.callOuts.size() >= terms.callOutLimit()) {
+        if (!mayGoOut(now, rpc)) {
             if (rpc.out == 0) {
                 giveUp(rpc);
             }
@@ -529,6 +529,8 @@
         Seat seat = choose(now, rpc);
         if (seat == null) {
             if (rpc.out == 0) {
+                // Only the primary may be able to take it: turned away once, it waits for that one again.
+                rpc.tried.remove(rpc.group.primary);
                 rpc.group.held.add(rpc);
             }
             return;
@@ -589,30 +591,21 @@
         return over;
     }
 
-    /** An RPC goes out again where its method allows; what failed before its time is tried elsewhere. */
-    private void furtherCallOut(Duration now, Rpc rpc, Seat from, Outcome outcome) {
-        boolean late = now.compareTo(rpc.lastSend) >= 0;
-        boolean over = late || rpc.callOuts.size() >= terms.callOutLimit()
-                || rpc.row.effect() == Effect.NON_IDEMPOTENT && rpc.mayHaveRun;
-        if (over) {
-            if (rpc.out == 0) {
-                giveUp(rpc);
-            }
-            return;
-        }
+    /** What failed before its time is tried elsewhere, after all members only with the next beat. */
+    private void furtherCallOut(Duration now, Rpc rpc, Outcome outcome) {
         if (rpc.out > 0) {
             return;
         }
-        if (outcome == Outcome.MISS && rpc.row.need() == Need.WRITE) {
+        boolean missed = outcome == Outcome.MISS && rpc.row.need() == Need.WRITE;
+        if (now.compareTo(rpc.lastSend) >= 0) {
+            giveUp(rpc);
+        } else if (missed || rpc.group.seats.stream().anyMatch(s -> s.listed && !rpc.tried.contains(s))) {
             route(now, rpc);
-            return;
-        }
-        boolean allTried = rpc.group.seats.stream().allMatch(s -> !s.listed || rpc.tried.contains(s));
-        if (allTried) {
+        } else if (mayGoOut(now, rpc)) {
             rpc.tried.clear();
             rpc.group.held.add(rpc);
         } else {
-            route(now, rpc);
+            giveUp(rpc);
         }
     }
 
@@ -647,7 +640,7 @@
 
     /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
     private Seat ready(Duration now, Rpc rpc, Seat seat) {
-        boolean fits = seat.listed && !seat.draining && !rpc.tried.contains(seat) && maySend(now, rpc, seat)
+        boolean fits = seat.listed && !seat.draining && !rpc.tried.contains(seat) && knowsRepeats(rpc, seat)
                 && trusted(now, rpc, seat) && roomy(now, seat) && coldRoom(now, rpc, seat);
         return fits ? seat : null;
     }
@@ -665,19 +658,21 @@
         return seconds(c.seat.answeredSent.minus(c.sent)) > LOST_TIMES * work(c.rpc);
     }
 
-    private boolean maySend(Duration now, Rpc rpc, Seat seat) {
-        if (rpc.out > 0 && !terms.parallelCallOuts()) {
-            return false;
-        }
-        if (rpc.out == 0 && !rpc.mayHaveRun || rpc.row.effect() == Effect.IDEMPOTENT) {
-            return true;
-        }
-        if (rpc.row.effect() == Effect.NON_IDEMPOTENT) {
-            return false;
-        }
-        CallOut first = rpc.callOuts.get(0);
-        boolean known = rpc.row.scope() != Scope.ZONE || first.seat.zone.equals(seat.zone);
-        return known && now.minus(first.sent).compareTo(rpc.row.window()) < 0;
+    /** No effect twice: whether the RPC may go out, or out again, by its method and the terms. */
+    private boolean mayGoOut(Duration now, Rpc rpc) {
+        boolean limited = rpc.callOuts.size() >= terms.callOutLimit() || rpc.out > 0 && !terms.parallelCallOuts();
+        boolean risk = rpc.out > 0 || rpc.mayHaveRun;
+        return !limited && (!risk || switch (rpc.row.effect()) {
+            case IDEMPOTENT -> true;
+            case TOKENED -> now.minus(rpc.callOuts.get(0).sent).compareTo(rpc.row.window()) < 0;
+            case NON_IDEMPOTENT -> false;
+        });
+    }
+
+    /** A repeat of a tokened RPC is known in its group, which all sends stay in, or only in its zone. */
+    private boolean knowsRepeats(Rpc rpc, Seat seat) {
+        return rpc.row.effect() != Effect.TOKENED || rpc.row.scope() != Scope.ZONE || rpc.callOuts.isEmpty()
+                || rpc.callOuts.get(0).seat.zone.equals(seat.zone);
     }
 
     private boolean trusted(Duration now, Rpc rpc, Seat seat) {
--- a/src/main/java/weldcross/routing/ServiceTerms.java
+++ b/src/main/java/weldcross/routing/ServiceTerms.java
@@ -18,10 +18,9 @@
  * @param coldFor after this long a started server is warm
  * @param fallMultiple a cold server falls over when sent more than this multiple of what it can do
  * @param fallWindow for this long
- * @param tenantRates the RPCs a second within each tenant's share, by tenant, at all gateways together
  */
 public record ServiceTerms(List<MethodRow> methods, int gateways, ZoneId zone, boolean parallelCallOuts,
         int callOutLimit, boolean probes, boolean cancels, Duration longestComeBack, boolean listOnRequest,
         Duration askWithin, boolean goneBinds, boolean tokensCarried, double coldShare, Duration coldFor,
-        double fallMultiple, Duration fallWindow, List<Double> tenantRates, double overShareUtility) {
+        double fallMultiple, Duration fallWindow) {
 }
--- a/src/main/java/weldcross/routing/TenantId.java
+++ /dev/null
@@ -1,5 +0,0 @@
-package weldcross.routing;
-
-/** A customer with a share of the service. */
-public record TenantId(int number) {
-}
