Forgive one reset connection; only a refused one makes a server count as cold

Change: a reset counts like an error, two in a row set aside; cold only when no connection can be had, or by the list. It could harm where a process dies and is back before anything is refused: the list alone tells then.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -737,11 +737,12 @@
                 trust(now, seat, callOut);
             }
             case MISS -> trust(now, seat, callOut);
-            case ERROR, NO_ROOM -> {
+            case ERROR, NO_ROOM, CUT -> {
+                // One alone proves nothing: errors happen, and connections are reset on live servers.
                 seat.lastWord = now;
                 suspect(now, seat, ++seat.strikes > 1);
             }
-            case NO_ROUTE, CUT -> {
+            case NO_ROUTE -> {
                 // A process that is not there may come back cold before the list says so.
                 seat.coldSince = now;
                 suspect(now, seat, true);
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -299,6 +299,18 @@
         assertEquals(5, rig.rpcs.get(read).sent);
     }
 
+    /** Against resets on live servers: one does not set a server aside, two in a row do. */
+    @Test
+    void oneResetConnectionIsForgiven() {
+        Rig rig = Rig.settled();
+        rig.wait(ms(1));
+        rig.end(rig.only(rig.arrive(Need.FRESH, 0, Duration.ZERO)), Outcome.CUT);
+        String second = rig.arrive(Need.FRESH, 0, Duration.ZERO);
+        assertEquals("s0", rig.only(second).server().id.name());
+        rig.end(rig.only(second), Outcome.CUT);
+        assertTrue(rig.rpcs.get(rig.arrive(Need.FRESH, 0, Duration.ZERO)).out.isEmpty());
+    }
+
     /** Rule 4: a gateway's share, from its own share of what warm servers do. */
     @Test
     void aColdServerGetsNoMoreThanItsBudget() {
