--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -39,7 +39,7 @@
     private static final Duration FIRST_DOUBT = Duration.ofMillis(200);
     private static final Duration LONGEST_DOUBT = Duration.ofSeconds(2);
     /** What a call-out should take on the mean, as a part of its soft deadline: a server full, but not jammed. */
-    private static final double EASE = 0.30;
+    private static final double EASE = 0.26;
     /** How far one answer moves a server's window, and where the window starts and ends. */
     private static final double WINDOW_GAIN = 0.12;
     private static final double FIRST_WINDOW = 12;
