--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -226,7 +226,7 @@
     public void listFailed(Duration now) {
         askAt = now.plus(askWait).plusNanos(dice.nextLong(askWait.toNanos() + 1));
         Duration longest = terms.askWithin().dividedBy(2);
-        askWait = askWait.multipliedBy(2).compareTo(longest) < 0 ? askWait.multipliedBy(2) : longest;
+        askWait = sooner(askWait.multipliedBy(2), longest);
     }
 
     private void leave(Seat seat) {
@@ -243,12 +243,12 @@
         Duration deadline = now.plus(patience);
         Duration soft = now.plus(row.softDeadline());
         // Where a late answer has no utility the soft deadline ends the work, so that servers drop it.
-        Duration giveUpAt = row.lateUtility() > 0 || soft.compareTo(deadline) > 0 ? deadline : soft;
+        Duration giveUpAt = row.lateUtility() > 0 ? deadline : sooner(soft, deadline);
         Group group = groups.computeIfAbsent(groupId, g -> new Group());
         // What is still held is answered a beat before the client gives up, not in the same moment.
         Duration last = deadline.minus(BEAT);
         Rpc rpc = new Rpc(id, method, row, group, session, now, giveUpAt,
-                giveUpAt.compareTo(last) < 0 ? giveUpAt : last, row.utility() * (repeat ? REPEAT_VALUE : 1));
+                sooner(giveUpAt, last), row.utility() * (repeat ? REPEAT_VALUE : 1));
         if (row.need() == Need.SESSION) {
             if (!terms.tokensCarried()) {
                 rpc.token = tokens.getOrDefault(session, floor);
@@ -271,15 +271,12 @@
         Seat seat = callOut.seat;
         rpc.out--;
         seat.out.remove(callOut);
-        if (rpc.row.need() != Need.WRITE) {
-            seat.reads--;
-        }
-        rpc.mayHaveRun |= !outcome.neverRan;
         boolean write = rpc.row.need() == Need.WRITE;
+        seat.reads -= write ? 0 : 1;
+        rpc.mayHaveRun |= !outcome.neverRan;
         if (write && outcome == Outcome.OK && rpc.session != null && !terms.tokensCarried()) {
             Duration commit = pos == null ? now : pos;
-            Duration old = tokens.remove(rpc.session);
-            tokens.put(rpc.session, old != null && old.compareTo(commit) > 0 ? old : commit);
+            tokens.put(rpc.session, later(tokens.remove(rpc.session), commit));
         }
         if (primary != null) {
             Duration asOf = pos != null && !write ? pos : now.minus(took);
@@ -328,9 +325,7 @@
         group.heard = true;
         Seat before = group.primary;
         if (Boolean.TRUE.equals(primary)) {
-            if (seat.primaryAsOf == null || seat.primaryAsOf.compareTo(pos) < 0) {
-                seat.primaryAsOf = pos;
-            }
+            seat.primaryAsOf = later(seat.primaryAsOf, pos);
             if (before == null || before.primaryAsOf == null || pos.compareTo(before.primaryAsOf) > 0) {
                 group.primary = seat;
             }
@@ -340,9 +335,7 @@
             seat.primaryAsOf = null;
             group.primary = null;
         }
-        if (pos != null && (seat.pos == null || seat.pos.compareTo(pos) < 0)) {
-            seat.pos = pos;
-        }
+        seat.pos = later(seat.pos, pos);
         if (first || group.primary != before) {
             group.nextRound = now;
         }
@@ -368,7 +361,7 @@
             if (now.minus(TOKEN_KEPT).compareTo(oldest.getValue()) < 0) {
                 break;
             }
-            floor = floor == null || floor.compareTo(oldest.getValue()) < 0 ? oldest.getValue() : floor;
+            floor = later(floor, oldest.getValue());
             tokens.remove(oldest.getKey());
         }
         beat(now);
@@ -718,7 +711,7 @@
         Duration since = seat.lastWord;
         for (CallOut c : seat.out) {
             if (c.sent.compareTo(seat.answeredSent) > 0) {
-                since = expected == 0 && c.sent.compareTo(since) > 0 ? c.sent : since;
+                since = expected == 0 ? later(since, c.sent) : since;
                 expected += 1 / work(c.rpc);
             }
         }
@@ -776,9 +769,7 @@
     }
 
     private void trust(Duration now, Seat seat, CallOut answered) {
-        if (seat.answeredSent.compareTo(answered.sent) < 0) {
-            seat.answeredSent = answered.sent;
-        }
+        seat.answeredSent = later(seat.answeredSent, answered.sent);
         seat.lastWord = now;
         seat.strikes = 0;
         seat.doubted = false;
@@ -794,8 +785,7 @@
     /** Each trial that is sent puts the next one off for twice as long, until an answer comes. */
     private void doubt(Duration now, Seat seat) {
         seat.trialAt = now.plus(seat.doubt);
-        Duration twice = seat.doubt.multipliedBy(2);
-        seat.doubt = twice.compareTo(LONGEST_DOUBT) < 0 ? twice : LONGEST_DOUBT;
+        seat.doubt = sooner(seat.doubt.multipliedBy(2), LONGEST_DOUBT);
         seat.doubted = true;
     }
 
@@ -817,6 +807,15 @@
         }
     }
 
+    /** The later of two; what is not known counts as earlier. */
+    private static Duration later(Duration a, Duration b) {
+        return a == null || b != null && b.compareTo(a) > 0 ? b : a;
+    }
+
+    private static Duration sooner(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
     private static double seconds(Duration span) {
         return span.toNanos() / 1e9;
     }
