--- a/src/main/java/weldcross/bench/WireHost.java
+++ b/src/main/java/weldcross/bench/WireHost.java
@@ -1,8 +1,8 @@
 package weldcross.bench;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HexFormat;
+import weldcross.peers.PeerWord;
 import weldcross.routing.Host;
 import weldcross.routing.RpcId;
 import weldcross.routing.ServerId;
@@ -51,8 +51,7 @@
 
     @Override
     public void tellPeers(ServerId server) {
-        byte[] text = server.name().getBytes(StandardCharsets.UTF_8);
-        begin("TELL").append("all ").append(HexFormat.of().formatHex(text)).append('\n');
+        begin("TELL").append("all ").append(HexFormat.of().formatHex(PeerWord.write(server))).append('\n');
     }
 
     @Override
--- a/src/main/java/weldcross/bench/WireLoop.java
+++ b/src/main/java/weldcross/bench/WireLoop.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
+import weldcross.peers.PeerWord;
 import weldcross.routing.Condition;
 import weldcross.routing.GroupId;
 import weldcross.routing.Outcome;
@@ -20,6 +21,9 @@
 import weldcross.routing.ServerId;
 import weldcross.routing.SessionId;
 import weldcross.routing.ZoneId;
+import weldcross.terms.LoadReport;
+import weldcross.terms.NamedValues;
+import weldcross.terms.TermsReader;
 
 /** Reads the bench's batches, calls the instances' routers, and writes one reply a batch. */
 public final class WireLoop {
@@ -33,8 +37,6 @@
         }
     }
 
-    private static final BigDecimal MICROS_A_SECOND = BigDecimal.valueOf(1_000_000);
-
     /** One gateway: its router and the two clock times that its Durations are counted from. */
     private static final class Instance {
         Router router;
@@ -125,12 +127,12 @@
         Duration now = since(to, clock);
         switch (p[0]) {
             case "INIT":
-                Facts facts = new Facts(p, 3);
+                NamedValues told = NamedValues.ofPairs(p, 3);
                 to.startMicros = clock;
-                to.originMicros = facts.originMicros();
+                to.originMicros = TermsReader.originMicros(told);
                 long seed = Long.parseUnsignedLong(p[2]);
                 WireHost host = new WireHost(reply, number, clock);
-                return () -> to.router = new Router(host, facts.terms(), seed);
+                return () -> to.router = new Router(host, TermsReader.service(told), seed);
             case "STOP":
                 return () -> instances.remove(number);
             case "DIRECTORY_UPDATE":
@@ -176,8 +178,8 @@
                 return p[2].equals(WireHost.TIMER)
                         ? () -> to.router.timerRang(now) : () -> to.router.dueReached(now);
             case "INBOX":
-                ServerId named = new ServerId(text(p[3]));
-                return () -> to.router.peerTold(now, named);
+                ServerId named = peerWord(p[3]);
+                return named == null ? () -> { } : () -> to.router.peerTold(now, named);
             case "UNDER_WAY":
                 return () -> { };
             default:
@@ -206,20 +208,10 @@
         if (absent(pairs)) {
             return;
         }
-        Duration pos = null;
-        Boolean primary = null;
-        for (String pair : pairs.split(",")) {
-            int colon = pair.indexOf(':');
-            String value = pair.substring(colon + 1);
-            if (pair.startsWith("x0:")) {
-                BigDecimal micros = new BigDecimal(value).multiply(MICROS_A_SECOND);
-                pos = since(to, to.originMicros + micros.setScale(0, RoundingMode.FLOOR).longValue());
-            } else if (pair.startsWith("x1:")) {
-                primary = new BigDecimal(value).signum() > 0;
-            }
-        }
-        if (pos != null) {
-            to.router.reported(now, server, pos, primary);
+        LoadReport report = LoadReport.read(pairs, ':');
+        if (report.position() != null) {
+            long micros = report.position().movePointRight(6).setScale(0, RoundingMode.FLOOR).longValue();
+            to.router.reported(now, server, since(to, to.originMicros + micros), report.primary());
         }
     }
 
@@ -250,12 +242,11 @@
                 .setScale(0, rounding).longValue() * 1000);
     }
 
-    /** Peers are gateways of this project, so what is no text of theirs names no server that is known. */
-    private static String text(String hex) {
+    private static ServerId peerWord(String hex) {
         try {
-            return new String(HexFormat.of().parseHex(hex), StandardCharsets.UTF_8);
+            return PeerWord.read(HexFormat.of().parseHex(hex));
         } catch (IllegalArgumentException e) {
-            return "";
+            return null;
         }
     }
 
--- /dev/null
+++ b/src/main/java/weldcross/gateway/Effects.java
@@ -0,0 +1,36 @@
+package weldcross.gateway;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+
+/**
+ * What the reducer asks of the world. Each is begun at once and never waits; what comes of it comes back as an
+ * event. A connection is known by the number that its accepting or its dialling gave it.
+ */
+interface Effects {
+
+    void listen(InetSocketAddress at);
+
+    void stopListening();
+
+    /** Hears other gateways at this address and speaks to them from it. */
+    void joinPeers(InetSocketAddress at);
+
+    void dialServer(long link, InetSocketAddress to);
+
+    void dialDiscovery(long link, InetSocketAddress to);
+
+    /** Writes the parts as one, from where they are; they must not change afterwards. */
+    void write(long connection, ByteBuffer... parts);
+
+    /** Reads on, or lets what comes wait in the network. */
+    void read(long connection, boolean on);
+
+    /** Ends a connection before anything that is asked for later. */
+    void drop(long connection);
+
+    /** Ends a connection once all that was written to it is out. */
+    void finish(long connection);
+
+    void tellPeers(InetSocketAddress to, byte[] message);
+}
--- /dev/null
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -0,0 +1,598 @@
+package weldcross.gateway;
+
+import java.math.RoundingMode;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+import weldcross.discovery.ListedMember;
+import weldcross.peers.PeerWord;
+import weldcross.pgwire.Malformed;
+import weldcross.pgwire.Replies;
+import weldcross.pgwire.ServerAnswer;
+import weldcross.pgwire.Statement;
+import weldcross.routing.GroupId;
+import weldcross.routing.Host;
+import weldcross.routing.MethodRow.Need;
+import weldcross.routing.Outcome;
+import weldcross.routing.Router;
+import weldcross.routing.RpcId;
+import weldcross.routing.ServerId;
+import weldcross.routing.SessionId;
+import weldcross.routing.ZoneId;
+import weldcross.terms.GatewayTerms;
+import weldcross.terms.LoadReport;
+
+/**
+ * The one owner of a gateway's state. Every change of it is an event that goes through {@link #reduce}, on one
+ * thread; the events call the router, which acts through this as its {@link Host}, and all that reaches the world
+ * is asked of {@link Effects}. What the router decides is carried out as it says; nothing is decided here.
+ */
+public final class Gateway implements Host {
+
+    /** From start to exit. */
+    public enum Phase { STARTING, LISTENING, SERVING, DRAINING, STOPPED }
+
+    /** Something that happened, told to the one thread. */
+    @FunctionalInterface
+    interface Event extends Consumer<Gateway> {
+    }
+
+    /** New connections still come for this long after a stop was asked for, as clients learn of it late. */
+    private static final Duration STILL_COMING = Duration.ofMillis(700);
+    /** Statements that a connection may have waiting before no more of it is read. */
+    private static final int WAITING_STATEMENTS = 8;
+
+    private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
+
+    /** A client's connection: what it asked is worked in its order, one at a time. */
+    private static final class Client {
+        final long number;
+        final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+        Rpc rpc;
+        boolean started, writing, ending, unread;
+        Duration idleSince;
+
+        Client(long number, Duration now) {
+            this.number = number;
+            this.idleSince = now;
+        }
+
+        boolean isIdle() {
+            return rpc == null && !writing && waiting.isEmpty();
+        }
+    }
+
+    /** An RPC that is not answered, or whose call-outs are still out. */
+    private static final class Rpc {
+        final RpcId id;
+        final Client client;
+        final Statement statement;
+        final Duration deadline;
+        final List<CallOut> callOuts = new ArrayList<>(1);
+        int out;
+        boolean answered;
+
+        Rpc(RpcId id, Client client, Statement statement, Duration deadline) {
+            this.id = id;
+            this.client = client;
+            this.statement = statement;
+            this.deadline = deadline;
+        }
+    }
+
+    private final class CallOut extends Question {
+        final Rpc rpc;
+        final int number;
+        final ServerId server;
+        final Duration sent = now;
+        final Duration until;
+
+        CallOut(Rpc rpc, ServerId server, Duration until) {
+            this.rpc = rpc;
+            this.number = rpc.callOuts.size();
+            this.server = server;
+            this.until = until;
+            rpc.callOuts.add(this);
+            rpc.out++;
+        }
+
+        @Override
+        ByteBuffer[] message() {
+            return rpc.statement.withWait(Math.max(1, until.minus(now).toMillis()));
+        }
+
+        @Override
+        void ended(Outcome outcome, ServerAnswer answer) {
+            rpc.out--;
+            if (outcome == Outcome.OK && !rpc.answered) {
+                answer(rpc, answer.forClient());
+            }
+            long millis = answer == null ? 0 : answer.positionMillis();
+            router.callOutEnded(now, rpc.id, number, server, outcome, now.minus(sent),
+                    answer == null ? null : answer.primary(), millis == 0 ? null : since(millis), rpc.answered);
+            report(server, answer == null ? null : answer.stats());
+            forget(rpc);
+        }
+    }
+
+    private final class Probe extends Question {
+        final ServerId server;
+
+        Probe(ServerId server) {
+            this.server = server;
+        }
+
+        @Override
+        ByteBuffer[] message() {
+            return new ByteBuffer[] {Replies.query(reportsByProbe ? "SHOW stats" : "SELECT 1")};
+        }
+
+        @Override
+        void ended(Outcome outcome, ServerAnswer answer) {
+            router.probeEnded(now, server, outcome == Outcome.OK);
+            if (outcome == Outcome.OK) {
+                report(server, reportsByProbe ? answer.rowText() : answer.stats());
+            }
+        }
+    }
+
+    private final GatewayTerms terms;
+    private final Effects effects;
+    private final Duration unixAtStart;
+    private final ServerLinks links;
+    private final ListWatch list;
+    private final DueTimes dues = new DueTimes();
+    private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
+    private final Map<Long, Client> clients = new LinkedHashMap<>();
+    private final Map<RpcId, Rpc> rpcs = new LinkedHashMap<>();
+    private final Set<GroupId> groups = new HashSet<>();
+    private final boolean reportsByProbe;
+    private final int mostClients;
+    private Router router;
+    private Phase phase = Phase.STARTING;
+    private Duration now = Duration.ZERO;
+    private Duration stoppingAt;
+    private long lastNumber;
+    private long taken, served, pushedBack, aborted, left;
+
+    /** @param unixAtStart what the wall clock showed, as time since 1970, when the time given to events was zero */
+    Gateway(GatewayTerms terms, Effects effects, Duration unixAtStart) {
+        this.terms = terms;
+        this.effects = effects;
+        this.unixAtStart = unixAtStart;
+        this.reportsByProbe = terms.reportsByProbe();
+        // An eighth of the descriptors is the process's own; clients and servers cannot starve each other.
+        this.mostClients = terms.sockets() / 2;
+        this.links = new ServerLinks(this, effects, terms.connectTimeout(), terms.idleClose(),
+                terms.sockets() * 3 / 8);
+        this.list = new ListWatch(this, effects, terms);
+    }
+
+    // ---- The one way in
+
+    /** Makes one change: all that comes of it at this moment is done when it returns. */
+    void reduce(Duration at, Event event) {
+        advance(at);
+        event.accept(this);
+        settle();
+    }
+
+    /** Makes all changes that are due by now. */
+    void reduceDue(Duration at) {
+        advance(at);
+        for (List<Runnable> due = dues.poll(now); due != null; due = dues.poll(now)) {
+            for (Runnable each : due) {
+                each.run();
+                settle();
+            }
+        }
+    }
+
+    /** Null where nothing is due. */
+    Duration nextDue() {
+        return dues.next();
+    }
+
+    private void advance(Duration at) {
+        now = at.compareTo(now) > 0 ? at : now;
+    }
+
+    private void settle() {
+        for (Runnable next = soon.poll(); next != null; next = soon.poll()) {
+            next.run();
+        }
+    }
+
+    Duration now() {
+        return now;
+    }
+
+    void at(Duration when, Runnable due) {
+        dues.at(when, due);
+    }
+
+    /** Done in this same moment, but not inside the call that is being made. */
+    void soon(Runnable next) {
+        soon.add(next);
+    }
+
+    /** Numbers of connections dialled here are below zero, of those accepted above. */
+    long nextNumber() {
+        return --lastNumber;
+    }
+
+    // ---- Phases
+
+    Phase phase() {
+        return phase;
+    }
+
+    private void enter(Phase next) {
+        LOG.info(() -> phase + " to " + next + " after " + now.toMillis() + " ms");
+        phase = next;
+    }
+
+    void start() {
+        LOG.info(() -> "gateway " + terms.name() + " on " + terms.listen() + ", " + terms.sockets() + " descriptors, "
+                + terms.known().count("members") + " servers known");
+        router = new Router(this, terms.service(), terms.seed());
+        enter(Phase.LISTENING);
+        effects.listen(terms.listen());
+        if (terms.peerListen() != null) {
+            effects.joinPeers(terms.peerListen());
+        }
+        list.start();
+    }
+
+    void stop() {
+        if (phase == Phase.DRAINING || phase == Phase.STOPPED) {
+            return;
+        }
+        enter(Phase.DRAINING);
+        at(now.plus(STILL_COMING), () -> {
+            effects.stopListening();
+            List.copyOf(clients.values()).forEach(this::closeIfDone);
+            stopIfDone();
+        });
+        stoppingAt = now;
+    }
+
+    private boolean isClosing() {
+        return phase == Phase.DRAINING && now.minus(stoppingAt).compareTo(STILL_COMING) >= 0;
+    }
+
+    private void closeIfDone(Client client) {
+        if (client.isIdle() && !client.ending) {
+            client.ending = true;
+            clients.remove(client.number);
+            effects.finish(client.number);
+        }
+    }
+
+    private void stopIfDone() {
+        if (isClosing() && clients.isEmpty() && rpcs.values().stream().allMatch(r -> r.answered)) {
+            LOG.info(() -> "stopped: " + taken + " taken, " + served + " ok, " + pushedBack + " pushed back, "
+                    + aborted + " aborted, " + left + " left by their clients");
+            enter(Phase.STOPPED);
+        }
+    }
+
+    // ---- Clients
+
+    void accepted(long number) {
+        Client client = new Client(number, now);
+        if (clients.size() >= mostClients) {
+            Client longest = null;
+            for (Client c : clients.values()) {
+                if (c.isIdle() && (longest == null || c.idleSince.compareTo(longest.idleSince) < 0)) {
+                    longest = c;
+                }
+            }
+            if (longest == null) {
+                effects.write(number, Replies.fatal("53300", "too many clients"));
+                effects.finish(number);
+                return;
+            }
+            closeIfDone(longest);
+        }
+        clients.put(number, client);
+    }
+
+    void clientGone(long number) {
+        Client client = clients.remove(number);
+        if (client == null) {
+            return;
+        }
+        client.ending = true;
+        client.waiting.clear();
+        Rpc rpc = client.rpc;
+        if (rpc != null && !rpc.answered) {
+            left++;
+            rpc.answered = true;
+            router.clientLeft(now, rpc.id);
+            forget(rpc);
+        }
+        stopIfDone();
+    }
+
+    void encryptionAsked(long number) {
+        inTurn(number, client -> write(client, Replies.noEncryption()));
+    }
+
+    void clientStarted(long number) {
+        inTurn(number, client -> {
+            client.started = true;
+            write(client, Replies.welcome());
+        });
+    }
+
+    /** Answered as ready only once RPCs can be routed. */
+    void askedNothing(long number) {
+        inTurn(number, client -> write(client, phase == Phase.SERVING ? Replies.emptyQuery()
+                : Replies.error("57P03", "not ready", null)));
+    }
+
+    void askedWrongly(long number, String state, String text) {
+        inTurn(number, client -> write(client, Replies.error(state, text, null)));
+    }
+
+    void clientBroke(long number, String state, String text) {
+        inTurn(number, client -> {
+            write(client, Replies.fatal(state, text));
+            client.ending = true;
+            clients.remove(number);
+            effects.finish(number);
+        });
+    }
+
+    /** @param arrived when its last byte was read, from which its time counts */
+    void asked(long number, Statement statement, Duration arrived) {
+        inTurn(number, client -> begin(client, statement, arrived));
+    }
+
+    void clientWritten(long number) {
+        Client client = clients.get(number);
+        if (client == null || !client.writing) {
+            return;
+        }
+        client.writing = false;
+        client.idleSince = now;
+        next(client);
+        if (isClosing()) {
+            closeIfDone(client);
+            stopIfDone();
+        }
+    }
+
+    private void inTurn(long number, Consumer<Client> step) {
+        Client client = clients.get(number);
+        if (client == null) {
+            return;
+        }
+        client.waiting.add(() -> step.accept(client));
+        if (client.waiting.size() > WAITING_STATEMENTS && !client.unread) {
+            client.unread = true;
+            effects.read(number, false);
+        }
+        next(client);
+    }
+
+    private void next(Client client) {
+        if (client.rpc == null && !client.writing && !client.ending && !client.waiting.isEmpty()) {
+            client.waiting.poll().run();
+            if (client.unread && client.waiting.isEmpty()) {
+                client.unread = false;
+                effects.read(client.number, true);
+            }
+        }
+    }
+
+    /** One at a time: the next is begun when this is out, so a slow reader holds up only itself. */
+    private void write(Client client, ByteBuffer... parts) {
+        client.writing = true;
+        effects.write(client.number, parts);
+    }
+
+    private void begin(Client client, Statement statement, Duration arrived) {
+        String fault = null;
+        int method = terms.methods().indexOf(statement.method());
+        RpcId id = new RpcId(statement.id());
+        try {
+            Duration patience = arrived.plusMillis(statement.waitMillis()).minus(now);
+            GroupId group = new GroupId(statement.group());
+            if (method < 0) {
+                fault = "unknown method";
+            } else if (statement.isWrite() != (terms.service().methods().get(method).need() == Need.WRITE)) {
+                fault = "method and statement do not agree";
+            } else if (statement.tenant() != null && !terms.tenants().isEmpty()
+                    && !terms.tenants().contains(statement.tenant())) {
+                fault = "unknown tenant";
+            } else if (!groups.contains(group)) {
+                fault = "unknown cluster";
+            } else if (rpcs.containsKey(id)) {
+                fault = "id is in use";
+            } else {
+                take(client, statement, id, method, group, patience.isNegative() ? Duration.ZERO : patience);
+                return;
+            }
+        } catch (Malformed e) {
+            fault = e.getMessage();
+        }
+        write(client, Replies.error("22023", fault, null));
+    }
+
+    private void take(Client client, Statement statement, RpcId id, int method, GroupId group, Duration patience)
+            throws Malformed {
+        Rpc rpc = new Rpc(id, client, statement, now.plus(patience));
+        taken++;
+        client.rpc = rpc;
+        rpcs.put(id, rpc);
+        Need need = terms.service().methods().get(method).need();
+        SessionId session = need == Need.WRITE || need == Need.SESSION ? new SessionId(statement.key()) : null;
+        long after = statement.afterMillis();
+        Duration sinceWrite = after == 0 ? Duration.ZERO : now.minus(since(after));
+        router.rpcArrived(now, id, method, group, session, sinceWrite.isNegative() ? Duration.ZERO : sinceWrite,
+                patience, statement.isRepeat());
+    }
+
+    private void answer(Rpc rpc, ByteBuffer... parts) {
+        rpc.answered = true;
+        rpc.client.rpc = null;
+        write(rpc.client, parts);
+    }
+
+    private void forget(Rpc rpc) {
+        if (rpc.answered && rpc.out == 0) {
+            rpcs.remove(rpc.id);
+        }
+    }
+
+    // ---- Servers
+
+    ServerLinks links() {
+        return links;
+    }
+
+    ListWatch list() {
+        return list;
+    }
+
+    private void report(ServerId server, String pairs) {
+        if (pairs == null || pairs.isEmpty()) {
+            return;
+        }
+        LoadReport report;
+        try {
+            report = LoadReport.read(pairs, '=');
+        } catch (NumberFormatException e) {
+            LOG.fine(() -> "report without sense from " + server.name() + ": " + pairs);
+            return;
+        }
+        if (report.position() != null) {
+            long nanos = report.position().movePointRight(9).setScale(0, RoundingMode.FLOOR).longValue();
+            router.reported(now, server, Duration.ofNanos(nanos).minus(unixAtStart), report.primary());
+        }
+    }
+
+    private Duration since(long unixMillis) {
+        return Duration.ofMillis(unixMillis).minus(unixAtStart);
+    }
+
+    // ---- The list, and other gateways
+
+    void listed(boolean whole, List<ListedMember> members) {
+        router.listBegins(now, whole);
+        for (ListedMember m : members) {
+            ServerId server = new ServerId(m.id());
+            if (m.address() != null) {
+                links.listed(server, m.address());
+            }
+            groups.add(new GroupId(m.group()));
+            router.memberListed(now, server, new ZoneId(m.zone()), new GroupId(m.group()), m.condition(),
+                    m.upSinceMillis() == 0 ? null : since(m.upSinceMillis()), m.head());
+        }
+        router.listEnds(now);
+        if (phase == Phase.LISTENING && !groups.isEmpty()) {
+            enter(Phase.SERVING);
+        }
+    }
+
+    void listFailed() {
+        if (terms.service().listOnRequest()) {
+            router.listFailed(now);
+        }
+    }
+
+    void peerTold(ServerId server) {
+        router.peerTold(now, server);
+    }
+
+    // ---- What the router asks for
+
+    @Override
+    public void callOut(RpcId id, ServerId server, Duration until) {
+        Rpc rpc = rpcs.get(id);
+        CallOut callOut = new CallOut(rpc, server, until.compareTo(rpc.deadline) < 0 ? until : rpc.deadline);
+        if (callOut.until.compareTo(now) <= 0) {
+            links.drop(callOut, Outcome.NOT_SENT);
+            return;
+        }
+        links.ask(server, callOut);
+        giveUpAt(callOut.until, callOut, Outcome.TIMED_OUT);
+    }
+
+    @Override
+    public void cancel(RpcId id, int number) {
+        Rpc rpc = rpcs.get(id);
+        if (rpc != null && !rpc.callOuts.get(number).over) {
+            links.drop(rpc.callOuts.get(number), Outcome.CANCELLED);
+        }
+    }
+
+    private void giveUpAt(Duration when, Question question, Outcome outcome) {
+        at(when, () -> {
+            if (!question.over) {
+                links.drop(question, outcome);
+            }
+        });
+    }
+
+    @Override
+    public void pushBack(RpcId id, Duration comeBackAfter) {
+        Rpc rpc = rpcs.get(id);
+        if (rpc != null && !rpc.answered) {
+            pushedBack++;
+            long millis = comeBackAfter.toMillis();
+            answer(rpc, Replies.error("53300", "not now", millis > 0 ? Long.toString(millis) : null));
+            soon(() -> forget(rpc));
+        }
+    }
+
+    @Override
+    public void abort(RpcId id) {
+        Rpc rpc = rpcs.get(id);
+        if (rpc != null && !rpc.answered) {
+            aborted++;
+            answer(rpc, Replies.error("58000", "failed, and may have run", null));
+            soon(() -> forget(rpc));
+        }
+    }
+
+    @Override
+    public void probe(ServerId server) {
+        Probe probe = new Probe(server);
+        links.ask(server, probe);
+        giveUpAt(now.plus(terms.connectTimeout()), probe, Outcome.TIMED_OUT);
+    }
+
+    @Override
+    public void tellPeers(ServerId server) {
+        byte[] message = PeerWord.write(server);
+        if (terms.peersAll() != null && message.length <= PeerWord.LONGEST) {
+            effects.tellPeers(terms.peersAll(), message);
+        }
+    }
+
+    /** The list is watched from the start, at no cost to anybody: there is nothing left to ask for. */
+    @Override
+    public void watchList() {
+    }
+
+    @Override
+    public void ringAt(Duration when) {
+        at(when, () -> router.timerRang(now));
+    }
+
+    @Override
+    public void dueAt(Duration when) {
+        at(when, () -> router.dueReached(now));
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -0,0 +1,53 @@
+package weldcross.gateway;
+
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+
+/**
+ * MINA writes one buffer at a time; this is the least that makes it gather. The channel behind a session is not
+ * to be had from it, but the selector's key knows both.
+ */
+final class GatheringProcessor extends NioProcessor {
+
+    private static final String CHANNEL = "channel";
+
+    GatheringProcessor(Executor executor) {
+        super(executor);
+    }
+
+    @Override
+    protected void init(NioSession session) throws Exception {
+        super.init(session);
+        for (SelectionKey key : selector.keys()) {
+            if (key.attachment() == session) {
+                session.setAttribute(CHANNEL, key.channel());
+                return;
+            }
+        }
+    }
+
+    /** Tells the other side at once that nothing more comes: a session's own close waits for its thread. */
+    static void endSending(IoSession session) {
+        SocketChannel channel = (SocketChannel) session.getAttribute(CHANNEL);
+        try {
+            if (channel != null) {
+                channel.shutdownOutput();
+            }
+        } catch (IOException e) {
+            // Already ended from the other side.
+        }
+    }
+
+    @Override
+    protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
+        return buffer instanceof GatheredBuffer gathered
+                ? (int) gathered.writeTo((SocketChannel) session.getAttribute(CHANNEL))
+                : super.write(session, buffer, length);
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -0,0 +1,347 @@
+package weldcross.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioDatagramAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import weldcross.discovery.HttpReader;
+import weldcross.peers.PeerWord;
+import weldcross.pgwire.ClientReader;
+import weldcross.pgwire.Malformed;
+import weldcross.pgwire.ServerReader;
+import weldcross.pgwire.Statement;
+import weldcross.routing.ServerId;
+
+/** Performs the effects on Apache MINA; its threads only parse what comes and post it. */
+final class MinaEffects implements Effects {
+
+    /** What reads one connection's stream, on MINA's thread. */
+    private abstract static class Stream {
+        abstract void opened();
+
+        abstract void read(ByteBuffer in) throws Malformed, HttpReader.Malformed;
+
+        void written() {
+        }
+
+        abstract void gone();
+    }
+
+    private static final Logger LOG = Logger.getLogger(MinaEffects.class.getName());
+    private static final String STREAM = "stream";
+    private static final String NUMBER = "number";
+    private static final int BACKLOG = 512;
+
+    private final Loop loop;
+    private final Supplier<Duration> clock;
+    private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
+    private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
+    private final NioSocketAcceptor acceptor;
+    private final NioSocketConnector connector;
+    private NioDatagramAcceptor peers;
+    private InetSocketAddress peersFrom;
+
+    MinaEffects(Loop loop, Supplier<Duration> clock) {
+        this.loop = loop;
+        this.clock = clock;
+        ExecutorService threads = Executors.newCachedThreadPool(task -> {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            return thread;
+        });
+        GatheringProcessor processor = new GatheringProcessor(threads);
+        acceptor = new NioSocketAcceptor(threads, processor);
+        connector = new NioSocketConnector(threads, processor);
+        set(acceptor.getSessionConfig());
+        set(connector.getSessionConfig());
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setHandler(new Handler() {
+            @Override
+            public void sessionCreated(IoSession session) {
+                long number = session.getId();
+                session.setAttribute(NUMBER, number);
+                session.setAttribute(STREAM, client(number));
+                sessions.put(number, session);
+            }
+        });
+        connector.setHandler(new Handler());
+    }
+
+    private static void set(SocketSessionConfig config) {
+        config.setTcpNoDelay(true);
+        config.setMinReadBufferSize(512);
+        config.setReadBufferSize(1024);
+    }
+
+    @Override
+    public void listen(InetSocketAddress at) {
+        try {
+            acceptor.bind(at);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot listen on " + at + ": " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void stopListening() {
+        acceptor.setCloseOnDeactivation(false);
+        acceptor.unbind();
+    }
+
+    @Override
+    public void joinPeers(InetSocketAddress at) {
+        peersFrom = at;
+        peers = new NioDatagramAcceptor();
+        peers.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                IoBuffer in = (IoBuffer) message;
+                byte[] bytes = new byte[in.remaining()];
+                in.get(bytes);
+                ServerId server = PeerWord.read(bytes);
+                if (server != null) {
+                    loop.post(g -> g.peerTold(server));
+                }
+            }
+
+            @Override
+            public void exceptionCaught(IoSession session, Throwable cause) {
+                LOG.log(Level.FINE, "message between gateways", cause);
+            }
+        });
+        try {
+            peers.bind(at);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot listen on " + at + ": " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void tellPeers(InetSocketAddress to, byte[] message) {
+        peers.newSession(to, peersFrom).write(IoBuffer.wrap(message));
+    }
+
+    @Override
+    public void dialServer(long link, InetSocketAddress to) {
+        dial(link, to, server(link));
+    }
+
+    @Override
+    public void dialDiscovery(long link, InetSocketAddress to) {
+        dial(link, to, discovery(link));
+    }
+
+    private void dial(long number, InetSocketAddress to, Stream stream) {
+        ConnectFuture future = connector.connect(to, (session, f) -> {
+            session.setAttribute(NUMBER, number);
+            session.setAttribute(STREAM, stream);
+            sessions.put(number, session);
+        });
+        dials.put(number, future);
+        future.addListener(f -> {
+            dials.remove(number);
+            if (!((ConnectFuture) f).isConnected()) {
+                stream.gone();
+            }
+        });
+    }
+
+    @Override
+    public void write(long connection, ByteBuffer... parts) {
+        IoSession session = sessions.get(connection);
+        if (session != null) {
+            session.write(new GatheredBuffer(parts));
+        }
+    }
+
+    @Override
+    public void read(long connection, boolean on) {
+        IoSession session = sessions.get(connection);
+        if (session != null && on) {
+            session.resumeRead();
+        } else if (session != null) {
+            session.suspendRead();
+        }
+    }
+
+    @Override
+    public void drop(long connection) {
+        ConnectFuture future = dials.remove(connection);
+        if (future != null) {
+            future.cancel();
+        }
+        IoSession session = sessions.remove(connection);
+        if (session != null) {
+            GatheringProcessor.endSending(session);
+            session.closeNow();
+        }
+    }
+
+    @Override
+    public void finish(long connection) {
+        IoSession session = sessions.get(connection);
+        if (session != null) {
+            session.closeOnFlush();
+        }
+    }
+
+    private Stream client(long number) {
+        ClientReader reader = new ClientReader(new ClientReader.Sink() {
+            @Override
+            public void encryptionAsked() {
+                loop.post(g -> g.encryptionAsked(number));
+            }
+
+            @Override
+            public void started() {
+                loop.post(g -> g.clientStarted(number));
+            }
+
+            @Override
+            public void asked(Statement statement) {
+                Duration arrived = clock.get();
+                loop.post(g -> g.asked(number, statement, arrived));
+            }
+
+            @Override
+            public void askedNothing() {
+                loop.post(g -> g.askedNothing(number));
+            }
+
+            @Override
+            public void askedWrongly(String state, String text) {
+                loop.post(g -> g.askedWrongly(number, state, text));
+            }
+
+            @Override
+            public void broke(String state, String text) {
+                loop.post(g -> g.clientBroke(number, state, text));
+            }
+
+            @Override
+            public void ended() {
+                drop(number);
+                loop.post(g -> g.clientGone(number));
+            }
+        });
+        return new Stream() {
+            @Override
+            void opened() {
+                loop.post(g -> g.accepted(number));
+            }
+
+            @Override
+            void read(ByteBuffer in) {
+                reader.feed(in);
+            }
+
+            @Override
+            void written() {
+                loop.post(g -> g.clientWritten(number));
+            }
+
+            @Override
+            void gone() {
+                loop.post(g -> g.clientGone(number));
+            }
+        };
+    }
+
+    private Stream server(long number) {
+        ServerReader reader = new ServerReader(() -> loop.post(g -> g.links().ready(number)),
+                answer -> loop.post(g -> g.links().answered(number, answer)));
+        return new Stream() {
+            @Override
+            void opened() {
+                loop.post(g -> g.links().up(number));
+            }
+
+            @Override
+            void read(ByteBuffer in) throws Malformed {
+                reader.feed(in);
+            }
+
+            @Override
+            void written() {
+                loop.post(g -> g.links().written(number));
+            }
+
+            @Override
+            void gone() {
+                loop.post(g -> g.links().gone(number, reader.rest()));
+            }
+        };
+    }
+
+    private Stream discovery(long number) {
+        HttpReader reader = new HttpReader((status, body) -> loop.post(g -> g.list().answered(number, status, body)));
+        return new Stream() {
+            @Override
+            void opened() {
+                loop.post(g -> g.list().up(number));
+            }
+
+            @Override
+            void read(ByteBuffer in) throws HttpReader.Malformed {
+                reader.feed(in);
+            }
+
+            @Override
+            void gone() {
+                loop.post(g -> g.list().gone(number));
+            }
+        };
+    }
+
+    /** The events of all connections, handed to the stream that each carries. */
+    private class Handler extends IoHandlerAdapter {
+
+        private Stream stream(IoSession session) {
+            return (Stream) session.getAttribute(STREAM);
+        }
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            stream(session).opened();
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) throws Exception {
+            stream(session).read(((IoBuffer) message).buf());
+        }
+
+        @Override
+        public void messageSent(IoSession session, Object message) {
+            stream(session).written();
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            sessions.remove((Long) session.getAttribute(NUMBER));
+            stream(session).gone();
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            // A peer's nonsense, or a broken network: the connection ends and its end is told.
+            LOG.log(Level.FINE, "connection ended", cause);
+            session.closeNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/gateway/Question.java
@@ -0,0 +1,19 @@
+package weldcross.gateway;
+
+import java.nio.ByteBuffer;
+import weldcross.pgwire.ServerAnswer;
+import weldcross.routing.Outcome;
+
+/** What a connection to a server carries, one at a time: an RPC's call-out or a probe. */
+abstract class Question {
+
+    /** The connection that carries it; null before and after. */
+    ServerLinks.Link link;
+    boolean over;
+
+    /** What goes out, worded when it goes: the time left is part of it. */
+    abstract ByteBuffer[] message();
+
+    /** Called once, however it ends. */
+    abstract void ended(Outcome outcome, ServerAnswer answer);
+}
--- /dev/null
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -0,0 +1,235 @@
+package weldcross.gateway;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import weldcross.pgwire.Replies;
+import weldcross.pgwire.ServerAnswer;
+import weldcross.routing.Outcome;
+import weldcross.routing.ServerId;
+
+/** The reducer's connections to servers: each carries one question at a time, then waits for the next. */
+final class ServerLinks {
+
+    /** One connection. */
+    static final class Link {
+        final long number;
+        final ServerId server;
+        Question question;
+        boolean up;
+        int unwritten;
+        Duration idleSince;
+
+        final InetSocketAddress address;
+
+        Link(long number, ServerId server, InetSocketAddress address) {
+            this.number = number;
+            this.server = server;
+            this.address = address;
+        }
+    }
+
+    private final Gateway gateway;
+    private final Effects effects;
+    private final Duration connectTimeout;
+    private final Duration idleFor;
+    private final int most;
+    private final Map<ServerId, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<ServerId, ArrayDeque<Link>> idle = new HashMap<>();
+    private final Map<Long, Link> links = new HashMap<>();
+    /** All that are idle, the longest idle first. */
+    private final LinkedHashSet<Link> resting = new LinkedHashSet<>();
+
+    /** @param idleClose after which a server closes; a connection is given up here before that */
+    ServerLinks(Gateway gateway, Effects effects, Duration connectTimeout, Duration idleClose, int most) {
+        this.gateway = gateway;
+        this.effects = effects;
+        this.connectTimeout = connectTimeout;
+        this.idleFor = idleClose.minus(idleClose.dividedBy(8));
+        this.most = most;
+    }
+
+    /** A server that moved keeps its name; what is open to its old address is used no more. */
+    void listed(ServerId server, InetSocketAddress address) {
+        InetSocketAddress before = addresses.put(server, address);
+        if (before != null && !before.equals(address)) {
+            ArrayDeque<Link> old = idle.remove(server);
+            if (old != null) {
+                old.forEach(this::remove);
+            }
+        }
+    }
+
+    void ask(ServerId server, Question question) {
+        ArrayDeque<Link> ready = idle.get(server);
+        Link link = ready == null ? null : ready.pollFirst();
+        if (link != null) {
+            resting.remove(link);
+            carry(link, question);
+            write(link, question.message());
+            return;
+        }
+        if (links.size() >= most && !resting.isEmpty()) {
+            Link longest = resting.iterator().next();
+            idle.get(longest.server).remove(longest);
+            remove(longest);
+        }
+        InetSocketAddress address = addresses.get(server);
+        if (links.size() >= most || address == null) {
+            gateway.soon(() -> end(question, Outcome.NO_ROUTE, null));
+            return;
+        }
+        Link dialled = new Link(gateway.nextNumber(), server, address);
+        links.put(dialled.number, dialled);
+        carry(dialled, question);
+        effects.dialServer(dialled.number, address);
+        gateway.at(gateway.now().plus(connectTimeout), () -> {
+            if (!dialled.up && links.containsKey(dialled.number)) {
+                effects.drop(dialled.number);
+                gone(dialled.number, null);
+            }
+        });
+    }
+
+    /** Stops waiting: the connection ends with it, so that nothing of it comes back. */
+    void drop(Question question, Outcome outcome) {
+        if (question.link != null) {
+            remove(question.link);
+        }
+        gateway.soon(() -> end(question, outcome, null));
+    }
+
+    void up(long number) {
+        Link link = links.get(number);
+        if (link != null) {
+            write(link, Replies.startup());
+        }
+    }
+
+    /** The server welcomed this gateway; what is sent before that it may not read. */
+    void ready(long number) {
+        Link link = links.get(number);
+        if (link != null) {
+            link.up = true;
+            write(link, link.question.message());
+        }
+    }
+
+    void written(long number) {
+        Link link = links.get(number);
+        if (link != null) {
+            link.unwritten--;
+        }
+    }
+
+    void answered(long number, ServerAnswer answer) {
+        Link link = links.get(number);
+        if (link == null || link.question == null) {
+            return;
+        }
+        Question question = link.question;
+        if (!answer.isServed() && answer.state() == null) {
+            remove(link);
+            end(question, Outcome.CUT, null);
+            return;
+        }
+        link.question = null;
+        question.link = null;
+        rest(link);
+        end(question, outcome(answer), answer);
+    }
+
+    void gone(long number, ServerAnswer rest) {
+        Link link = links.remove(number);
+        if (link == null) {
+            return;
+        }
+        resting.remove(link);
+        ArrayDeque<Link> ready = idle.get(link.server);
+        if (ready != null) {
+            ready.remove(link);
+        }
+        Question question = link.question;
+        if (question == null) {
+            return;
+        }
+        question.link = null;
+        if (rest != null && (rest.isServed() || rest.state() != null)) {
+            end(question, outcome(rest), rest);
+        } else {
+            end(question, link.up && link.unwritten == 0 ? Outcome.CUT : Outcome.NO_ROUTE, null);
+        }
+    }
+
+    private static Outcome outcome(ServerAnswer answer) {
+        if (answer.state() == null) {
+            return Outcome.OK;
+        }
+        return switch (answer.state()) {
+            case "25006", "72000" -> Outcome.MISS;
+            case "53300" -> Outcome.NO_ROOM;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    private void end(Question question, Outcome outcome, ServerAnswer answer) {
+        if (!question.over) {
+            question.over = true;
+            question.ended(outcome, answer);
+        }
+    }
+
+    private void carry(Link link, Question question) {
+        link.question = question;
+        question.link = link;
+    }
+
+    private void write(Link link, ByteBuffer... parts) {
+        link.unwritten++;
+        effects.write(link.number, parts);
+    }
+
+    private void rest(Link link) {
+        if (!link.address.equals(addresses.get(link.server))) {
+            remove(link);
+            return;
+        }
+        boolean first = link.idleSince == null;
+        link.idleSince = gateway.now();
+        idle.computeIfAbsent(link.server, s -> new ArrayDeque<>()).addFirst(link);
+        resting.add(link);
+        if (first) {
+            gateway.at(link.idleSince.plus(idleFor), () -> tire(link));
+        }
+    }
+
+    /** One due time a connection, put off as long as it is used. */
+    private void tire(Link link) {
+        if (!links.containsKey(link.number)) {
+            return;
+        }
+        Duration until = link.idleSince.plus(idleFor);
+        if (!resting.contains(link)) {
+            gateway.at(gateway.now().plus(idleFor), () -> tire(link));
+        } else if (until.compareTo(gateway.now()) > 0) {
+            gateway.at(until, () -> tire(link));
+        } else {
+            idle.get(link.server).remove(link);
+            remove(link);
+        }
+    }
+
+    private void remove(Link link) {
+        links.remove(link.number);
+        resting.remove(link);
+        if (link.question != null) {
+            link.question.link = null;
+            link.question = null;
+        }
+        effects.drop(link.number);
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/pgwire/FrameReader.java
@@ -0,0 +1,90 @@
+package weldcross.pgwire;
+
+import java.nio.ByteBuffer;
+
+/**
+ * Cuts a stream into messages, however it is split. A message that lies whole in what was read is handed on as a
+ * slice of it, in place; only one that is split is gathered, once, in a buffer of its own size.
+ */
+public final class FrameReader {
+
+    /** The largest value is 64 KiB, in hex twice that, with a head. */
+    public static final int LONGEST = 2 * 65_536 + 8_192;
+    /** Type of the messages before the start of a session, which carry none. */
+    public static final byte UNTYPED = 0;
+
+    static final int VERSION_3 = 3 << 16;
+    private static final int HEAD = 5;
+
+    /** Takes each message whole, head included; the body starts at {@link #body}. */
+    public interface Sink {
+        void message(byte type, ByteBuffer whole) throws Malformed;
+    }
+
+    private boolean untyped;
+    private final ByteBuffer head = ByteBuffer.allocate(HEAD);
+    private ByteBuffer split;
+
+    /** @param untyped whether the stream begins with a message without a type, as a client's does */
+    public FrameReader(boolean untyped) {
+        this.untyped = untyped;
+    }
+
+    public static int body(byte type) {
+        return type == UNTYPED ? HEAD - 1 : HEAD;
+    }
+
+    public void feed(ByteBuffer in, Sink sink) throws Malformed {
+        while (in.hasRemaining()) {
+            if (split == null && head.position() == 0 && in.remaining() >= headSize()) {
+                int size = size(in, in.position());
+                if (in.remaining() >= size) {
+                    ByteBuffer whole = in.slice(in.position(), size);
+                    in.position(in.position() + size);
+                    hand(whole, sink);
+                    continue;
+                }
+            }
+            if (split == null) {
+                move(in, head, headSize() - head.position());
+                if (head.position() < headSize()) {
+                    return;
+                }
+                split = ByteBuffer.allocate(size(head, 0));
+                split.put(head.flip());
+                head.clear();
+            }
+            move(in, split, split.remaining());
+            if (!split.hasRemaining()) {
+                ByteBuffer whole = split.flip();
+                split = null;
+                hand(whole, sink);
+            }
+        }
+    }
+
+    private void hand(ByteBuffer whole, Sink sink) throws Malformed {
+        byte type = untyped ? UNTYPED : whole.get(0);
+        // Requests for encryption are turned down, after which the session starts like any other.
+        untyped = untyped && whole.getInt(HEAD - 1) != VERSION_3;
+        sink.message(type, whole);
+    }
+
+    private int headSize() {
+        return untyped ? HEAD - 1 : HEAD;
+    }
+
+    private int size(ByteBuffer from, int at) throws Malformed {
+        int length = from.getInt(at + headSize() - 4);
+        if (length < (untyped ? 8 : 4) || length > LONGEST) {
+            throw new Malformed("08P01", "message of length " + length);
+        }
+        return length + headSize() - 4;
+    }
+
+    private static void move(ByteBuffer from, ByteBuffer to, int most) {
+        int count = Math.min(most, from.remaining());
+        to.put(from.slice(from.position(), count));
+        from.position(from.position() + count);
+    }
+}
--- /dev/null
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -0,0 +1,76 @@
+package weldcross.terms;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import weldcross.routing.ServiceTerms;
+
+/**
+ * What one gateway is told at its start.
+ *
+ * @param sockets descriptors that the process may hold
+ * @param methods names of the methods, in the order of the service's rows
+ * @param peerListen where other gateways' messages arrive; null where there are none
+ * @param idleClose a server closes a connection that has been idle for so long
+ * @param reportsByProbe whether a probe is answered with a load report
+ * @param known the server list as this gateway last had it
+ */
+public record GatewayTerms(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        ServiceTerms service, List<String> methods, List<String> tenants, List<String> zones,
+        InetSocketAddress peerListen, InetSocketAddress peersAll, Duration idleClose, Duration connectTimeout,
+        boolean reportsByProbe, NamedValues known) {
+
+    /** Reads the file that the environment names; the environment's own values stand in for absent keys. */
+    public static GatewayTerms read(Map<String, String> environment) {
+        String file = environment.get("NODE_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new FaultyTerm("NODE_CONFIG", "nothing", "the path of the configuration");
+        }
+        try {
+            return of(NamedValues.ofJson(Files.readAllBytes(Path.of(file))).orElse(Map.of(
+                    "name", environment.getOrDefault("NODE_NAME", ""),
+                    "listen", environment.getOrDefault("NODE_LISTEN", ""),
+                    "discovery", environment.getOrDefault("NODE_DISCOVERY", ""))));
+        } catch (IOException | InvalidPathException e) {
+            throw new FaultyTerm("NODE_CONFIG", "'" + file + "' (" + e.getClass().getSimpleName() + ")",
+                    "the path of a readable file");
+        }
+    }
+
+    public static GatewayTerms of(NamedValues told) {
+        NamedValues settings = told.under("settings");
+        ServiceTerms service = TermsReader.service(settings);
+        if (service.methods().isEmpty()) {
+            throw settings.fault("categories", "a list of methods");
+        }
+        List<String> methods = new ArrayList<>();
+        for (int k = 0; k < service.methods().size(); k++) {
+            methods.add(settings.text("categories." + k + ".name"));
+        }
+        List<String> tenants = new ArrayList<>();
+        for (int k = 0; k < settings.count("tenants"); k++) {
+            tenants.add(settings.text("tenants." + k + ".name"));
+        }
+        boolean peers = service.tells() && told.has("peer_listen");
+        return new GatewayTerms(told.text("name"), told.address("listen"), told.address("discovery"), seed(told),
+                (int) told.whole("limits.sockets", 1024, 64), service, List.copyOf(methods), List.copyOf(tenants),
+                settings.list("zones"), peers ? told.address("peer_listen") : null,
+                peers ? told.address("peers_all") : null,
+                settings.span("bounds.idleClose", Duration.ofSeconds(30)),
+                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), settings.text("report.source", "none").equals("probe"), told.under("known"));
+    }
+
+    private static long seed(NamedValues told) {
+        try {
+            return Long.parseUnsignedLong(told.text("seed"), 16);
+        } catch (NumberFormatException e) {
+            throw told.fault("seed", "up to 16 hex digits");
+        }
+    }
+}
