--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -18,10 +18,10 @@
 /**
  * Decides where each RPC goes: the fast causal reads of Readwritesplit, from one gateway's own knowledge.
  *
- * <p>A gateway (today {@code weldcross.bench.WireLoop}) calls one public method for each thing that happens,
- * with the time since this router started; the router acts by calling {@link Host}, the interface it is
- * handed, with {@link ServiceTerms}, at the start. The ordinary path is {@link #choose}; all else guards it.
- * docs/design.md says what is kept of the design, what was added and when that acts.
+ * <p>A gateway ({@code weldcross.gateway.Gateway}, on the bench {@code weldcross.bench.WireLoop}) calls one
+ * public method for each thing that happens, with the time since this router started; the router acts by
+ * calling {@link Host}, the interface it is handed, with {@link ServiceTerms}, at the start. The ordinary
+ * path is {@link #choose}; all else guards it. docs/design.md says what is kept, what was added, and when.
  */
 public final class Router {
 
@@ -47,6 +47,8 @@
     private static final double LOST_TIMES = 4.5;
     /** Held RPCs with less time left than this many usual times are given up. */
     private static final double TAIL = 1.4;
+    /** Unsent by this part of its time an RPC is given up: few go out later, and its client can come back. */
+    private static final double UNSENT = 0.45;
     /** An answer that takes this many usual times makes its server come after its equals. */
     private static final double SLOW_TIMES = 3;
     /** What a client's repeat is valued at: its soft deadline runs from the first try. */
@@ -119,7 +121,7 @@
         final int method;
         final MethodRow row;
         final Group group;
-        final Duration arrived, giveUpAt, lastSend;
+        final Duration arrived, giveUpAt, lastSend, unsentUntil;
         final double luck = dice.nextDouble();
         final List<CallOut> callOuts = new ArrayList<>();
         final LinkedHashSet<Seat> tried = new LinkedHashSet<>();
@@ -139,6 +141,7 @@
             this.giveUpAt = row.lateUtility() > 0 ? deadline : sooner(now.plus(row.softDeadline()), deadline);
             // What is still held is answered a little before the client gives up, not in the same moment.
             this.lastSend = sooner(giveUpAt, deadline.minus(LOOK));
+            this.unsentUntil = sooner(lastSend, now.plus(span(UNSENT * seconds(deadline.minus(now)))));
         }
     }
 
@@ -209,8 +212,7 @@
     /** The notice does not say which call failed, so the watch is asked for again, more and more rarely. */
     public void listFailed(Duration now) {
         askAt = now.plus(askWait).plusNanos(dice.nextLong(askWait.toNanos() + 1));
-        Duration longest = terms.askWithin().dividedBy(2);
-        askWait = sooner(askWait.multipliedBy(2), longest);
+        askWait = sooner(askWait.multipliedBy(2), terms.askWithin().dividedBy(2));
     }
 
     // ---- RPCs
@@ -227,11 +229,8 @@
             rpc.token = now.minus(sinceWrite);
         }
         open.put(id, rpc);
-        dueAt(rpc.lastSend, at -> {
-            if (!rpc.answered && (rpc.out == 0 || rpc.row.effect() == Effect.IDEMPOTENT)) {
-                giveUp(rpc);
-            }
-        });
+        dueAt(rpc.unsentUntil, at -> endIf(rpc, rpc.callOuts.isEmpty()));
+        dueAt(rpc.lastSend, at -> endIf(rpc, rpc.out == 0 || rpc.row.effect() == Effect.IDEMPOTENT));
         route(now, rpc);
     }
 
@@ -532,9 +531,7 @@
         rpc.out++;
         rpc.tried.add(seat);
         seat.out.add(callOut);
-        if (rpc.row.need() != Need.WRITE) {
-            seat.reads++;
-        }
+        seat.reads += rpc.row.need() == Need.WRITE ? 0 : 1;
         if (cold(now, seat)) {
             // Of what is unused a quarter of the fall window's part may be saved up, or one call-out.
             Duration gap = coldGap(now, seat, rpc.method);
@@ -551,9 +548,8 @@
     private void release(Duration now, Group group) {
         List<Rpc> waiting = new ArrayList<>(group.held);
         // Overload: taken oldest first, everything would go out when it is almost too late.
-        Rpc oldest = waiting.isEmpty() ? null : waiting.get(0);
-        if (oldest != null
-                && seconds(now.minus(oldest.arrived)) > LONG_WAIT * seconds(oldest.row.softDeadline())) {
+        if (!waiting.isEmpty() && seconds(now.minus(waiting.get(0).arrived))
+                > LONG_WAIT * seconds(waiting.get(0).row.softDeadline())) {
             Collections.reverse(waiting);
         }
         waiting.sort(Comparator.comparingDouble(rpc -> -value(now, rpc)));
@@ -570,8 +566,8 @@
     /** Utility for a server's time; the less of a method is served the more, lest it pay for all others. */
     private double value(Duration now, Rpc rpc) {
         boolean late = now.compareTo(rpc.arrived.plus(rpc.row.softDeadline())) >= 0;
-        double utility = rpc.worth * (late ? rpc.row.lateUtility() : 1) / seconds(rpc.row.softDeadline());
-        return utility / (LEAST_SERVED + served[rpc.method]);
+        double utility = rpc.worth * (late ? rpc.row.lateUtility() : 1);
+        return utility / seconds(rpc.row.softDeadline()) / (LEAST_SERVED + served[rpc.method]);
     }
 
     /** What failed before its time is tried elsewhere, after all members only with the next look. */
@@ -587,6 +583,12 @@
         }
     }
 
+    private void endIf(Rpc rpc, boolean hopeless) {
+        if (hopeless && !rpc.answered) {
+            giveUp(rpc);
+        }
+    }
+
     private void giveUp(Rpc rpc) {
         boolean clean = rpc.out == 0 && !rpc.mayHaveRun;
         boolean harmless = rpc.row.effect() == Effect.IDEMPOTENT || clean
@@ -618,9 +620,8 @@
 
     /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
     private Seat ready(Duration now, Rpc rpc, Seat seat) {
-        boolean fits = seat.listed && !seat.draining && !rpc.tried.contains(seat) && knowsRepeats(rpc, seat)
-                && trusted(now, rpc, seat) && roomy(now, seat) && coldRoom(now, rpc, seat);
-        return fits ? seat : null;
+        return seat.listed && !seat.draining && !rpc.tried.contains(seat) && knowsRepeats(rpc, seat)
+                && trusted(now, rpc, seat) && roomy(now, seat) && coldRoom(now, rpc, seat) ? seat : null;
     }
 
     private boolean roomy(Duration now, Seat seat) {
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -456,6 +456,26 @@
         assertTrue(reads.subList(200, 400).stream().filter(r -> rig.rpcs.get(r).sent > 0).count() < 60);
     }
 
+    /** Held on to past half their time, few went out and the rest had no time left to come back. */
+    @Test
+    void whatWasNeverSentIsPushedBackBeforeHalfItsTime() {
+        Rig rig = Rig.settled();
+        rig.server(0).told = Condition.DRAINING;
+        rig.list();
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.wait(Rig.DEADLINE.dividedBy(2));
+        Rig.Entry entry = rig.rpcs.get(write);
+        assertEquals("pushed back", entry.answer);
+        assertTrue(entry.answeredAt.minus(entry.arrived).compareTo(Rig.DEADLINE.dividedBy(3)) > 0, "too soon");
+        // What has been out has had its chance taken, and is not cut short.
+        rig.server(0).told = Condition.ON;
+        rig.server(0).start = rig.now.minus(ms(20_000));
+        rig.list();
+        String sent = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.wait(Rig.DEADLINE.dividedBy(2).plus(ms(1)));
+        assertNull(rig.rpcs.get(sent).answer);
+    }
+
     @Test
     void aFailedListCallIsAskedAgainWithoutFlooding() {
         Rig rig = new Rig(Rig.terms(Effect.NON_IDEMPOTENT, Scope.GROUP, true, true, true), 1);
