--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -159,7 +159,7 @@
     private Router router;
     private Phase phase = Phase.STARTING;
     private Duration now = Duration.ZERO;
-    private Duration stoppingAt;
+    private Duration stoppingAt, answeredAt;
     private long lastNumber;
     private long taken, served, pushedBack, aborted, left;
 
@@ -257,12 +257,12 @@
             return;
         }
         enter(Phase.DRAINING);
+        stoppingAt = now;
         at(now.plus(STILL_COMING), () -> {
             effects.stopListening();
             List.copyOf(clients.values()).forEach(this::closeIfDone);
             stopIfDone();
         });
-        stoppingAt = now;
     }
 
     private boolean isClosing() {
@@ -277,8 +277,16 @@
         }
     }
 
+    /** A client that does not take its answer is waited for once more as long, and no longer. */
     private void stopIfDone() {
-        if (isClosing() && clients.isEmpty() && rpcs.values().stream().allMatch(r -> r.answered)) {
+        if (phase == Phase.STOPPED || !isClosing() || !rpcs.values().stream().allMatch(r -> r.answered)) {
+            return;
+        }
+        if (!clients.isEmpty() && answeredAt == null) {
+            answeredAt = now;
+            at(now.plus(STILL_COMING), this::stopIfDone);
+        }
+        if (clients.isEmpty() || now.minus(answeredAt).compareTo(STILL_COMING) >= 0) {
             LOG.info(() -> "stopped: " + taken + " taken, " + served + " ok, " + pushedBack + " pushed back, "
                     + aborted + " aborted, " + left + " left by their clients");
             enter(Phase.STOPPED);
--- /dev/null
+++ b/src/test/java/weldcross/gateway/GatewayTest.java
@@ -0,0 +1,732 @@
+package weldcross.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import weldcross.pgwire.ClientReader;
+import weldcross.pgwire.Malformed;
+import weldcross.pgwire.Replies;
+import weldcross.pgwire.ServerReader;
+import weldcross.pgwire.Statement;
+import weldcross.terms.GatewayTerms;
+import weldcross.terms.NamedValues;
+
+/** The reducer under recorded effects and a clock moved by hand; what it asks for is checked at every step. */
+class GatewayTest {
+
+    private static final long UNIX_MILLIS = 1_800_000_000_000L;
+    private static final Duration GRACE = Duration.ofMillis(70);
+    private static final Pattern STATEMENT = Pattern.compile("(SELECT|INSERT).* id=(\\w+),c=(\\w+),d=(\\d+),cluster=0.*");
+
+    /** One connection as the other side has it. */
+    private static final class Wire {
+        final StringBuilder received = new StringBuilder();
+        String server;
+        boolean open, dropped;
+        String statement;
+        ServerReader reader;
+        ClientReader fromClient;
+
+        String take() {
+            String all = received.toString();
+            received.setLength(0);
+            return all;
+        }
+    }
+
+    /** The world as effects: three servers of one group, s-0 the primary, and clients that ask. */
+    private static final class World implements Effects {
+        final Map<Long, Wire> wires = new LinkedHashMap<>();
+        final List<String> told = new ArrayList<>();
+        final Map<String, Duration> deadlines = new HashMap<>();
+        final Map<String, Long> askedBy = new HashMap<>();
+        final Map<String, String> answers = new LinkedHashMap<>();
+        final Map<String, Set<Long>> outOn = new HashMap<>();
+        final Set<String> mayHaveRun = new HashSet<>(), left = new HashSet<>();
+        final List<Long> unwritten = new ArrayList<>();
+        Gateway gateway;
+        Duration now = Duration.ZERO;
+        long lastClient, discovery;
+        boolean listening;
+        int named;
+
+        World(String... changes) {
+            gateway = new Gateway(GatewayTerms.of(NamedValues.ofJson(config(changes))), this,
+                    Duration.ofMillis(UNIX_MILLIS));
+            tell(Gateway::start);
+        }
+
+        /** Serving, with all positions known. */
+        static World serving(String... changes) {
+            World w = new World(changes);
+            w.wait(5);
+            w.answerProbes();
+            return w;
+        }
+
+        void tell(Gateway.Event event) {
+            gateway.reduce(now, event);
+        }
+
+        void wait(int millis) {
+            Duration end = now.plusMillis(millis);
+            for (Duration next = gateway.nextDue(); next != null && next.compareTo(end) <= 0;
+                    next = gateway.nextDue()) {
+                now = next.compareTo(now) > 0 ? next : now;
+                gateway.reduceDue(now);
+            }
+            now = end;
+        }
+
+        long connect() {
+            long number = ++lastClient;
+            Wire wire = new Wire();
+            wire.open = true;
+            wires.put(number, wire);
+            wire.fromClient = new ClientReader(new ClientReader.Sink() {
+                @Override
+                public void encryptionAsked() {
+                    tell(g -> g.encryptionAsked(number));
+                }
+
+                @Override
+                public void started() {
+                    tell(g -> g.clientStarted(number));
+                }
+
+                @Override
+                public void asked(Statement s) {
+                    Duration at = now;
+                    tell(g -> g.asked(number, s, at));
+                }
+
+                @Override
+                public void askedNothing() {
+                    tell(g -> g.askedNothing(number));
+                }
+
+                @Override
+                public void askedWrongly(String state, String text) {
+                    tell(g -> g.askedWrongly(number, state, text));
+                }
+
+                @Override
+                public void broke(String state, String text) {
+                    tell(g -> g.clientBroke(number, state, text));
+                }
+
+                @Override
+                public void ended() {
+                    leave(number);
+                }
+            });
+            tell(g -> g.accepted(number));
+            say(number, Replies.startup());
+            wire.take();
+            return number;
+        }
+
+        void say(long client, ByteBuffer bytes) {
+            wires.get(client).fromClient.feed(bytes);
+            flush();
+        }
+
+        /** What was written is out. */
+        void flush() {
+            while (!unwritten.isEmpty()) {
+                long number = unwritten.remove(0);
+                if (number > 0) {
+                    tell(g -> g.clientWritten(number));
+                } else if (number != discovery) {
+                    tell(g -> g.links().written(number));
+                }
+            }
+        }
+
+        String ask(long client, boolean write, long wait) {
+            String id = "a" + named++;
+            deadlines.put(id, now.plusMillis(wait));
+            askedBy.put(id, client);
+            String comment = " /* id=" + id + ",c=" + (write ? "file" : "look") + ",d=" + wait + ",cluster=0 */";
+            say(client, Replies.query(write ? "INSERT INTO kv (name, content) VALUES ('k', '\\x00') RETURNING content"
+                    + comment : "SELECT content FROM kv WHERE name = 'k'" + comment));
+            return id;
+        }
+
+        /** Whether the client has asked and had no answer. */
+        boolean waits(long client) {
+            return askedBy.entrySet().stream().anyMatch(e -> e.getValue() == client && !answers.containsKey(e.getKey()));
+        }
+
+        void leave(long client) {
+            askedBy.forEach((id, by) -> {
+                if (by == client && !answers.containsKey(id)) {
+                    left.add(id);
+                }
+            });
+            wires.get(client).open = false;
+            tell(g -> g.clientGone(client));
+        }
+
+        /** Lets a server answer what its connection carries; its state is null for a row. */
+        void answer(long link, String state) {
+            Wire wire = wires.get(link);
+            String asked = wire.statement;
+            wire.statement = null;
+            String id = id(asked);
+            boolean primary = wire.server.equals("s-0");
+            if (id != null) {
+                outOn.get(id).remove(link);
+                if (state == null || state.startsWith("XX")) {
+                    mayHaveRun.add(id);
+                }
+            }
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            if (state == null) {
+                String value = id == null ? "x0=" + (UNIX_MILLIS + now.toMillis()) / 1000.0 + ",x1=" + (primary ? 1 : 0)
+                        : "v-" + id;
+                all.writeBytes(message('T', "\0\1one"));
+                all.writeBytes(message('D', "\0\1\0\0\0" + (char) value.length() + value));
+                all.writeBytes(message('C', "SELECT 1\0"));
+            } else {
+                all.writeBytes(message('E', "SERROR\0C" + state + "\0\0"));
+            }
+            all.writeBytes(message('S', "mode\0" + (primary ? "read-write" : "read-only") + "\0"));
+            all.writeBytes(message('Z', "I"));
+            feed(wire, ByteBuffer.wrap(all.toByteArray()));
+        }
+
+        void end(long link) {
+            Wire wire = wires.get(link);
+            String id = id(wire.statement);
+            if (id != null) {
+                mayHaveRun.add(id);
+                outOn.get(id).remove(link);
+            }
+            wire.open = false;
+            tell(g -> g.links().gone(link, wire.reader.rest()));
+            flush();
+        }
+
+        void answerProbes() {
+            asked().stream().filter(l -> id(wires.get(l).statement) == null).forEach(l -> answer(l, null));
+        }
+
+        /** Connections to servers that carry a statement or a probe, in the order of their dialling. */
+        List<Long> asked() {
+            return new ArrayList<>(wires.entrySet().stream()
+                    .filter(e -> e.getValue().open && e.getValue().statement != null).map(Map.Entry::getKey).toList());
+        }
+
+        private void feed(Wire wire, ByteBuffer bytes) {
+            try {
+                wire.reader.feed(bytes);
+            } catch (Malformed e) {
+                throw new AssertionError(e);
+            }
+            flush();
+        }
+
+        @Override
+        public void listen(InetSocketAddress at) {
+            listening = true;
+        }
+
+        @Override
+        public void stopListening() {
+            listening = false;
+        }
+
+        @Override
+        public void joinPeers(InetSocketAddress at) {
+            told.add("join " + at.getPort());
+        }
+
+        @Override
+        public void dialServer(long link, InetSocketAddress to) {
+            Wire wire = new Wire();
+            wire.server = "s-" + (to.getPort() - 7000);
+            wires.put(link, wire);
+            wire.reader = new ServerReader(() -> tell(g -> g.links().ready(link)),
+                    a -> tell(g -> g.links().answered(link, a)));
+            if (!silent.contains(wire.server)) {
+                gateway.soon(() -> {
+                    wire.open = true;
+                    gateway.links().up(link);
+                });
+            }
+        }
+
+        final Set<String> silent = new HashSet<>();
+
+        @Override
+        public void dialDiscovery(long link, InetSocketAddress to) {
+            discovery = link;
+            wires.put(link, new Wire());
+        }
+
+        @Override
+        public void write(long connection, ByteBuffer... parts) {
+            Wire wire = wires.get(connection);
+            check(!wire.dropped, "written to a connection that was dropped");
+            unwritten.add(connection);
+            StringBuilder all = new StringBuilder();
+            for (ByteBuffer part : parts) {
+                all.append(StandardCharsets.ISO_8859_1.decode(part.duplicate()));
+            }
+            String text = all.toString();
+            if (connection > 0) {
+                answered(connection, text);
+            }
+            if (connection > 0 || connection == discovery) {
+                wire.received.append(text);
+            } else if (text.startsWith("Q")) {
+                sent(connection, wire, text.substring(5));
+            } else {
+                gateway.soon(() -> feed(wire, ByteBuffer.wrap(message('Z', "I"))));
+            }
+        }
+
+        private void sent(long link, Wire wire, String text) {
+            check(wire.statement == null, "a second statement on a busy connection");
+            wire.statement = text;
+            Matcher m = STATEMENT.matcher(text);
+            if (!m.matches()) {
+                check(text.equals("SHOW stats\0"), "neither a client's statement nor a probe: " + text);
+                return;
+            }
+            String id = m.group(2);
+            check(!answers.containsKey(id) && !left.contains(id), "rule 1: sent after its answer");
+            Set<Long> out = outOn.computeIfAbsent(id, i -> new HashSet<>());
+            check(m.group(1).equals("SELECT") || out.isEmpty() && !mayHaveRun.contains(id), "rule 2: sent twice");
+            check(now.plusMillis(Long.parseLong(m.group(4))).compareTo(deadlines.get(id).plus(GRACE)) <= 0,
+                    "a server is told more time than there is");
+            out.add(link);
+        }
+
+        private void answered(long client, String text) {
+            Matcher row = Pattern.compile("v-(a\\d+)").matcher(text);
+            List<String> mine = askedBy.entrySet().stream().filter(e -> e.getValue() == client
+                    && !answers.containsKey(e.getKey())).map(Map.Entry::getKey).sorted().toList();
+            if (!text.startsWith("T") && !text.startsWith("E") || mine.isEmpty()) {
+                return;
+            }
+            String id = row.find() ? row.group(1) : mine.get(0);
+            check(mine.contains(id), "rule 1: a second answer, or another client's");
+            check(now.compareTo(deadlines.get(id).plus(GRACE)) <= 0, "rule 1: answered late");
+            String answer = text.startsWith("T") ? "ok" : text.replaceAll("(?s).*?\0C(\\w{5})\0.*", "$1");
+            boolean write = outOn.containsKey(id) && writes.contains(id);
+            check(!answer.equals("53300") || !write || outOn.get(id).isEmpty() && !mayHaveRun.contains(id),
+                    "rule 2: pushed back though it may have run");
+            answers.put(id, answer);
+        }
+
+        final Set<String> writes = new HashSet<>();
+
+        @Override
+        public void read(long connection, boolean on) {
+            told.add((on ? "read " : "hold ") + connection);
+        }
+
+        @Override
+        public void drop(long connection) {
+            Wire wire = wires.get(connection);
+            if (wire == null) {
+                return;
+            }
+            wire.dropped = true;
+            wire.open = false;
+            String id = id(wire.statement);
+            if (id != null) {
+                mayHaveRun.add(id);
+                outOn.get(id).remove(connection);
+            }
+        }
+
+        @Override
+        public void finish(long connection) {
+            wires.get(connection).open = false;
+            told.add("finish " + connection);
+        }
+
+        @Override
+        public void tellPeers(InetSocketAddress to, byte[] message) {
+            told.add("tell " + to.getPort() + " " + new String(message, StandardCharsets.UTF_8));
+        }
+
+        private static String id(String statement) {
+            Matcher m = STATEMENT.matcher(statement == null ? "" : statement);
+            return m.matches() ? m.group(2) : null;
+        }
+    }
+
+    /** Clients that ask, leave and wait, servers that answer, miss, refuse, break, hang or stay silent. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+    void keepsTheRulesThroughRandomLives(long seed) {
+        SplittableRandom dice = new SplittableRandom(seed);
+        World w = World.serving("\"parallelTries\":true", "\"parallelTries\":" + dice.nextBoolean());
+        List<Long> clients = new ArrayList<>();
+        for (int step = 0; step < 3000; step++) {
+            int kind = dice.nextInt(100);
+            List<Long> asked = w.asked();
+            if (kind < 25) {
+                List<Long> free = clients.stream().filter(c -> !w.waits(c)).toList();
+                long client = free.isEmpty() || dice.nextInt(4) == 0 ? w.connect() : free.get(dice.nextInt(free.size()));
+                clients.remove(client);
+                boolean write = dice.nextInt(3) == 0;
+                if (write) {
+                    w.writes.add("a" + w.named);
+                }
+                w.ask(client, write, 50 + dice.nextInt(2000));
+                clients.add(client);
+            } else if (kind < 27 && !clients.isEmpty()) {
+                w.leave(clients.remove(dice.nextInt(clients.size())));
+            } else if (kind < 70 && !asked.isEmpty()) {
+                long link = asked.get(dice.nextInt(asked.size()));
+                int how = dice.nextInt(40);
+                boolean misses = World.id(w.wires.get(link).statement) != null
+                        && w.wires.get(link).statement.startsWith("INSERT") && !w.wires.get(link).server.equals("s-0");
+                if (how == 0) {
+                    w.end(link);
+                } else {
+                    w.answer(link, misses ? "25006" : how == 1 ? "XX000" : how == 2 ? "53300" : how == 3 ? "99999" : null);
+                }
+            } else if (kind == 71) {
+                String server = "s-" + dice.nextInt(3);
+                if (!w.silent.remove(server)) {
+                    w.silent.add(server);
+                }
+            } else {
+                w.wait(dice.nextInt(30));
+            }
+        }
+        w.wait(5000);
+        w.deadlines.keySet().forEach(id -> check(w.answers.containsKey(id) || w.left.contains(id), "rule 1: lost " + id));
+        assertTrue(w.answers.values().stream().filter("ok"::equals).count() > 100, "hardly any served: " + w.answers);
+    }
+
+    @Test
+    void isReadyOnlyOnceAListIsHeld() {
+        World w = new World("\"members\":[{\"id\"", "\"members\":[],\"x\":[{\"id\"");
+        long client = w.connect();
+        w.say(client, Replies.query(""));
+        assertTrue(w.wires.get(client).take().contains("C57P03"));
+        assertEquals(Gateway.Phase.LISTENING, w.gateway.phase());
+        w.tell(g -> g.list().up(w.discovery));
+        assertTrue(w.wires.get(w.discovery).take().startsWith("GET /catalog/members HTTP/1.1\r\n"));
+        list(w, 41, true, "active");
+        w.say(client, Replies.query(""));
+        assertTrue(w.wires.get(client).take().startsWith("I"));
+        assertTrue(w.wires.get(w.discovery).take().startsWith("GET /catalog/members?since=41&timeout_ms=5000 "));
+    }
+
+    @Test
+    void theListHeldStaysInForceWhileDiscoveryIsSilentOrTalksNonsense() {
+        World w = World.serving();
+        long first = w.discovery;
+        w.wait(1500);
+        assertFalse(first == w.discovery, "dialled again after silence");
+        w.tell(g -> g.list().up(w.discovery));
+        long second = w.discovery;
+        byte[] nonsense = "{\"revision\":".getBytes(StandardCharsets.UTF_8);
+        w.tell(g -> g.list().answered(second, 200, nonsense));
+        assertTrue(w.wires.get(second).dropped);
+        w.wait(300);
+        long third = w.discovery;
+        w.tell(g -> g.list().up(third));
+        w.tell(g -> g.list().answered(third, 503, nonsense));
+        String id = w.ask(w.connect(), true, 500);
+        w.answer(on(w, id), null);
+        assertEquals("ok", w.answers.get(id));
+    }
+
+    @Test
+    void aDrainingServerGetsNothingNew() {
+        World w = World.serving();
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 42, false, "leaving");
+        for (int k = 0; k < 20; k++) {
+            String id = w.ask(w.connect(), false, 500);
+            assertFalse(w.wires.get(on(w, id)).server.equals("s-1"));
+            w.answer(on(w, id), null);
+        }
+    }
+
+    @Test
+    void theRowComesFromTheServerAsItWas() {
+        World w = World.serving();
+        long client = w.connect();
+        String id = w.ask(client, false, 500);
+        w.answer(on(w, id), null);
+        String value = "v-" + id;
+        assertEquals(new String(message('T', "\0\1one"), StandardCharsets.ISO_8859_1) + "D" + "\0\0\0" + (char) (10
+                + value.length()) + "\0\1\0\0\0" + (char) value.length() + value + "C\0\0\0\15SELECT 1\0Z\0\0\0\5I",
+                w.wires.get(client).take());
+    }
+
+    @Test
+    void connectionsAreKeptAndTheLastUsedIsTakenFirst() {
+        World w = World.serving();
+        Set<Long> used = new HashSet<>();
+        for (int k = 0; k < 30; k++) {
+            String id = w.ask(w.connect(), true, 500);
+            used.add(on(w, id));
+            w.answer(on(w, id), null);
+        }
+        assertEquals(1, used.size());
+    }
+
+    @Test
+    void anIdleConnectionIsEndedBeforeItsServerEndsIt() {
+        World w = World.serving();
+        String id = w.ask(w.connect(), true, 500);
+        long link = on(w, id);
+        w.answer(link, null);
+        w.wait(26_000);
+        assertFalse(w.wires.get(link).dropped);
+        w.wait(3_000);
+        assertTrue(w.wires.get(link).dropped, "idle for 29 of 30 s");
+    }
+
+    @Test
+    void aServerThatNeverWelcomesIsNoRouteWithinTheTimeTold() {
+        World w = World.serving();
+        w.silent.addAll(List.of("s-1", "s-2"));
+        w.asked().forEach(w::end);
+        List.copyOf(w.wires.keySet()).stream().filter(n -> n < 0 && n != w.discovery && w.wires.get(n).open)
+                .forEach(w::end);
+        String id = w.ask(w.connect(), false, 2000);
+        w.wait(300);
+        w.answerProbes();
+        w.wait(600);
+        assertTrue(w.told.stream().anyMatch(t -> t.startsWith("tell 7947 s-")), "peers were not told: " + w.told);
+        w.asked().forEach(l -> w.answer(l, null));
+        assertEquals("ok", w.answers.get(id));
+    }
+
+    @Test
+    void whatWasCutBeforeItsLastByteNeverRan() {
+        World w = World.serving();
+        long client = w.connect();
+        w.writes.add("a" + w.named);
+        w.deadlines.put("a" + w.named, w.now.plusMillis(2000));
+        // Written, but not out: the flush that the world does after each step is what is left out here.
+        w.wires.get(client).fromClient.feed(Replies.query("INSERT INTO kv (name, content) VALUES ('k', '\\x00') "
+                + "RETURNING content /* id=a0,c=file,d=2000,cluster=0 */"));
+        w.askedBy.put("a0", client);
+        long link = on(w, "a0");
+        w.unwritten.clear();
+        w.wires.get(link).statement = null;
+        w.outOn.get("a0").clear();
+        w.end(link);
+        for (int k = 0; k < 30 && w.outOn.get("a0").isEmpty(); k++) {
+            w.wait(50);
+            w.answerProbes();
+        }
+        on(w, "a0");
+    }
+
+    @Test
+    void whatWasCutAfterItsLastByteIsAbortedAndNotPushedBack() {
+        World w = World.serving();
+        w.writes.add("a0");
+        String id = w.ask(w.connect(), true, 900);
+        w.end(on(w, id));
+        w.wait(1000);
+        assertEquals("58000", w.answers.get(id));
+    }
+
+    @Test
+    void aClientThatLeavesTakesItsCallOutWithIt() {
+        World w = World.serving();
+        long client = w.connect();
+        String id = w.ask(client, false, 900);
+        long link = on(w, id);
+        w.leave(client);
+        assertTrue(w.wires.get(link).dropped);
+    }
+
+    @Test
+    void pushedBackRpcsAreToldWhenToComeBack() {
+        World w = World.serving();
+        w.writes.add("a0");
+        long client = w.connect();
+        String id = w.ask(client, true, 900);
+        for (long link : w.asked()) {
+            w.answer(link, "53300");
+        }
+        for (int k = 0; k < 40 && !w.answers.containsKey(id); k++) {
+            w.wait(25);
+            w.asked().forEach(l -> w.answer(l, World.id(w.wires.get(l).statement) == null ? null : "53300"));
+        }
+        assertEquals("53300", w.answers.get(id));
+        assertTrue(w.wires.get(client).take().contains("\0D500\0"));
+    }
+
+    @Test
+    void statementsOnOneConnectionAreAnsweredInTheirOrder() {
+        World w = World.serving();
+        long client = w.connect();
+        String first = w.ask(client, false, 900);
+        String second = w.ask(client, false, 900);
+        assertNull(w.outOn.get(second));
+        w.answer(on(w, first), null);
+        w.answer(on(w, second), null);
+        assertEquals(List.of(first, second), List.copyOf(w.answers.keySet()));
+    }
+
+    @Test
+    void aClientThatAsksWithoutReadingIsNotReadOn() {
+        World w = World.serving();
+        long client = w.connect();
+        for (int k = 0; k < 12; k++) {
+            w.ask(client, false, 5000);
+        }
+        assertTrue(w.told.contains("hold " + client));
+        for (int k = 0; k < 12; k++) {
+            w.asked().stream().filter(l -> World.id(w.wires.get(l).statement) != null).forEach(l -> w.answer(l, null));
+            w.wait(40);
+            w.answerProbes();
+        }
+        assertTrue(w.told.contains("read " + client), w.answers.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"c=look,c=read", "c=look,c=file", "cluster=0,cluster=7", "d=900,'d=900,t=nobody'"})
+    void whatNamesTheUnknownIsNeverForwarded(String part, String instead) {
+        World w = World.serving();
+        long client = w.connect();
+        w.deadlines.put("z", w.now.plusMillis(900));
+        String text = "SELECT content FROM kv WHERE name = 'k' /* id=z,c=look,d=900,cluster=0 */";
+        w.say(client, Replies.query(text.replace(part, instead)));
+        assertTrue(w.wires.get(client).take().contains("C22023"));
+        assertTrue(w.asked().stream().allMatch(l -> World.id(w.wires.get(l).statement) == null));
+        w.say(client, Replies.query(text));
+        on(w, "z");
+        long other = w.connect();
+        w.say(other, Replies.query(text));
+        assertTrue(w.wires.get(other).take().contains("C22023"), "an id in use");
+    }
+
+    @Test
+    void withNoDescriptorsLeftIdleClientsGoFirstThenNewOnesAreTurnedAway() {
+        World w = World.serving("\"sockets\":1024", "\"sockets\":64");
+        List<Long> clients = new ArrayList<>();
+        for (int k = 0; k < 33; k++) {
+            clients.add(w.connect());
+            w.wait(1);
+        }
+        assertTrue(w.told.contains("finish " + clients.get(0)), "the longest idle one");
+        clients.subList(1, 33).forEach(c -> w.ask(c, false, 5000));
+        assertFalse(w.told.contains("finish " + clients.get(1)));
+        long number = w.lastClient + 1;
+        w.wires.put(number, new Wire());
+        w.tell(g -> g.accepted(number));
+        assertTrue(w.wires.get(number).take().contains("C53300") && w.told.contains("finish " + number));
+        assertTrue(w.wires.entrySet().stream().filter(e -> e.getKey() < 0 && e.getValue().open).count() <= 24);
+    }
+
+    @Test
+    void aStopAnswersWhatWasTakenAndWhatStillComes() {
+        World w = World.serving();
+        long busy = w.connect();
+        long idle = w.connect();
+        String taken = w.ask(busy, false, 2000);
+        w.tell(Gateway::stop);
+        w.wait(300);
+        w.say(idle, Replies.query(""));
+        assertTrue(w.wires.get(idle).take().contains("C57P03"), "no longer ready");
+        String late = w.ask(w.connect(), false, 2000);
+        w.wait(200);
+        assertTrue(w.listening);
+        w.wait(300);
+        assertFalse(w.listening);
+        assertTrue(w.told.contains("finish " + idle));
+        assertEquals(Gateway.Phase.DRAINING, w.gateway.phase());
+        for (String id : List.of(taken, late)) {
+            w.answer(on(w, id), null);
+            assertEquals("ok", w.answers.get(id));
+        }
+        assertEquals(Gateway.Phase.STOPPED, w.gateway.phase());
+    }
+
+    @Test
+    void aClientThatNeverReadsDoesNotHoldUpAStop() {
+        World w = World.serving();
+        long client = w.connect();
+        w.tell(g -> g.askedNothing(client));
+        w.tell(Gateway::stop);
+        w.wait(3000);
+        assertEquals(Gateway.Phase.STOPPED, w.gateway.phase());
+    }
+
+    private static long on(World w, String id) {
+        return w.asked().stream().filter(l -> id.equals(World.id(w.wires.get(l).statement))).findFirst()
+                .orElseThrow(() -> new AssertionError(id + " is not out; answers: " + w.answers));
+    }
+
+    private static void list(World w, int revision, boolean whole, String phase) {
+        String text = "{\"revision\":" + revision + ",\"complete\":" + whole + ",\"members\":[" + member(0, "active") + ","
+                + member(1, phase) + "]}";
+        w.tell(g -> g.list().answered(w.discovery, 200, text.getBytes(StandardCharsets.UTF_8)));
+        w.flush();
+    }
+
+    private static String member(int k, String phase) {
+        return "{\"id\":\"s-" + k + "\",\"host_port\":\"127.0.0.1:" + (7000 + k)
+                + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" + phase + "\",\"up_since_ms\":0}";
+    }
+
+    private static byte[] config(String... changes) {
+        String text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"8c1f\","
+                + "\"limits\":{\"sockets\":1024},\"peer_listen\":\"127.0.0.1:7946\",\"peers_all\":\"127.0.0.1:7947\","
+                + "\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + member(0, "active") + ","
+                + member(1, "active") + "," + member(2, "active") + "]},\"settings\":{\"bounds\":{\"cancel\":true,"
+                + "\"connectTimeout\":250000,\"idleClose\":30000000,\"maxRetryAfter\":500000,\"mayProbe\":true,"
+                + "\"mayTell\":true,\"parallelTries\":true,\"retryAfter\":true,\"tryLimit\":10},\"categories\":["
+                + "{\"name\":\"look\",\"effect\":\"idempotent\",\"target\":750000,\"worth\":3.0,\"lateWorth\":0.1},"
+                + "{\"name\":\"file\",\"effect\":\"at_most_once\",\"target\":600000,\"worth\":3.0,\"lateWorth\":0.5}],"
+                + "\"familyInfo\":{\"freshness\":[\"bounded\",\"write\"],\"lagAllowed\":[800000,0],\"tokenMode\":"
+                + "\"remembered\"},\"invariants\":{\"cold\":17000000,\"coldFrom\":0.29,\"fall\":1000000,"
+                + "\"fallMultiple\":2.0,\"mustAskIn\":10000000},\"nInstances\":2,\"report\":{\"source\":\"probe\"},"
+                + "\"tenants\":[{\"name\":\"acme\"}],\"zones\":[\"a\"]}}";
+        for (int k = 0; k < changes.length; k += 2) {
+            check(text.contains(changes[k]), "no such part: " + changes[k]);
+            text = text.replace(changes[k], changes[k + 1]);
+        }
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] message(char type, String body) {
+        byte[] b = body.getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(5 + b.length).put((byte) type).putInt(4 + b.length).put(b).array();
+    }
+
+    private static void check(boolean holds, String rule) {
+        if (!holds) {
+            throw new AssertionError(rule);
+        }
+    }
+}
