--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -241,8 +241,7 @@
     }
 
     void start() {
-        LOG.info(() -> "gateway " + terms.name() + " on " + terms.listen() + ", " + terms.sockets() + " descriptors, "
-                + terms.known().count("members") + " servers known");
+        LOG.info(() -> terms.inWords().split("\n")[0]);
         router = new Router(this, terms.service(), terms.seed());
         enter(Phase.LISTENING);
         effects.listen(terms.listen());
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -53,6 +54,7 @@
     private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector;
+    private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
     private NioDatagramAcceptor peers;
     private InetSocketAddress peersFrom;
 
@@ -89,10 +91,24 @@
         config.setReadBufferSize(1024);
     }
 
+    CompletableFuture<InetSocketAddress> listening() {
+        return listening;
+    }
+
+    /** Nothing is asked for after this. */
+    void end() {
+        acceptor.dispose();
+        connector.dispose();
+        if (peers != null) {
+            peers.dispose();
+        }
+    }
+
     @Override
     public void listen(InetSocketAddress at) {
         try {
             acceptor.bind(at);
+            listening.complete(acceptor.getLocalAddress());
         } catch (IOException e) {
             throw new IllegalStateException("cannot listen on " + at + ": " + e.getMessage(), e);
         }
--- a/src/main/java/weldcross/gateway/Service.java
+++ b/src/main/java/weldcross/gateway/Service.java
@@ -1,8 +1,9 @@
 package weldcross.gateway;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -11,39 +12,57 @@
 /** One gateway as a process: its clock, its thread, and the signal that ends it. */
 public final class Service {
 
+    /** The status of a process that broke, apart from those of a faulty command line or configuration. */
+    private static final int BROKEN = 70;
+
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
 
-    private Service() {
-    }
+    private final Loop loop;
+    private final MinaEffects effects;
+    private final Gateway gateway;
 
-    /** Serves until it is asked to stop; returns the status that the process is to exit with. */
-    public static int run(GatewayTerms terms) {
+    Service(GatewayTerms terms) {
         Instant wall = Instant.now();
         long zero = System.nanoTime();
         Supplier<Duration> clock = () -> Duration.ofNanos(System.nanoTime() - zero);
-        Loop loop = new Loop(clock);
-        Gateway gateway = new Gateway(terms, new MinaEffects(loop, clock),
-                Duration.ofSeconds(wall.getEpochSecond(), wall.getNano()));
-        CountDownLatch stopped = new CountDownLatch(1);
+        loop = new Loop(clock);
+        effects = new MinaEffects(loop, clock);
+        gateway = new Gateway(terms, effects, Duration.ofSeconds(wall.getEpochSecond(), wall.getNano()));
+    }
+
+    /** Serves until the process is asked to end; does not return. */
+    public static int run(GatewayTerms terms) {
+        Service service = new Service(terms);
+        CompletableFuture<Integer> status = new CompletableFuture<>();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            loop.post(Gateway::stop);
-            try {
-                stopped.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            // The signal would have the status of a process that was ended; this one has ended as asked.
-            Runtime.getRuntime().halt(0);
+            service.stop();
+            // The signal would have the status of a process that was ended; this one ends as asked.
+            Runtime.getRuntime().halt(status.join());
         }));
+        status.complete(service.serve());
+        return status.join();
+    }
+
+    /** Returns with the status to exit with: when it has stopped, or when it broke. */
+    int serve() {
+        loop.post(Gateway::start);
         try {
-            loop.post(Gateway::start);
             loop.run(gateway);
-            stopped.countDown();
             return 0;
         } catch (Throwable e) {
             LOG.log(Level.SEVERE, "the gateway broke", e);
-            Runtime.getRuntime().halt(70);
-            return 70;
+            return BROKEN;
+        } finally {
+            effects.end();
         }
     }
+
+    void stop() {
+        loop.post(Gateway::stop);
+    }
+
+    /** The address that clients connect to, once there is one. */
+    CompletableFuture<InetSocketAddress> listening() {
+        return effects.listening();
+    }
 }
--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -8,7 +8,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import weldcross.routing.MethodRow;
 import weldcross.routing.ServiceTerms;
 
 /**
@@ -28,19 +30,26 @@
 
     /** Reads the file that the environment names; the environment's own values stand in for absent keys. */
     public static GatewayTerms read(Map<String, String> environment) {
-        String file = environment.get("NODE_CONFIG");
-        if (file == null || file.isEmpty()) {
-            throw new FaultyTerm("NODE_CONFIG", "nothing", "the path of the configuration");
-        }
+        return of(file(environment.getOrDefault("NODE_CONFIG", "")).orElse(Map.of(
+                "name", environment.getOrDefault("NODE_NAME", ""),
+                "listen", environment.getOrDefault("NODE_LISTEN", ""),
+                "discovery", environment.getOrDefault("NODE_DISCOVERY", ""))));
+    }
+
+    public static GatewayTerms read(String file) {
+        return of(file(file));
+    }
+
+    private static NamedValues file(String file) {
         try {
-            return of(NamedValues.ofJson(Files.readAllBytes(Path.of(file))).orElse(Map.of(
-                    "name", environment.getOrDefault("NODE_NAME", ""),
-                    "listen", environment.getOrDefault("NODE_LISTEN", ""),
-                    "discovery", environment.getOrDefault("NODE_DISCOVERY", ""))));
+            if (!file.isEmpty()) {
+                return NamedValues.ofJson(Files.readAllBytes(Path.of(file)));
+            }
         } catch (IOException | InvalidPathException e) {
             throw new FaultyTerm("NODE_CONFIG", "'" + file + "' (" + e.getClass().getSimpleName() + ")",
                     "the path of a readable file");
         }
+        throw new FaultyTerm("NODE_CONFIG", "nothing", "the path of the configuration");
     }
 
     public static GatewayTerms of(NamedValues told) {
@@ -63,7 +72,35 @@
                 settings.list("zones"), peers ? told.address("peer_listen") : null,
                 peers ? told.address("peers_all") : null,
                 settings.span("bounds.idleClose", Duration.ofSeconds(30)),
-                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), settings.text("report.source", "none").equals("probe"), told.under("known"));
+                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe(settings), told.under("known"));
+    }
+
+    /** What would be served, for a person to read. */
+    public String inWords() {
+        StringBuilder words = new StringBuilder("gateway ").append(name).append(" on ").append(plain(listen))
+                .append(", list from ").append(plain(discovery)).append(", ").append(known.count("members"))
+                .append(" servers known, ").append(sockets).append(" descriptors, one of ")
+                .append(service.gateways()).append(" gateways");
+        for (int k = 0; k < methods.size(); k++) {
+            MethodRow row = service.methods().get(k);
+            words.append("\n  ").append(methods.get(k)).append(": ").append(row.need().name().toLowerCase(Locale.ROOT))
+                    .append(row.bound().isZero() ? "" : " " + row.bound().toMillis() + " ms").append(", ")
+                    .append(row.effect().name().toLowerCase(Locale.ROOT).replace('_', '-')).append(", soft deadline ")
+                    .append(row.softDeadline().toMillis()).append(" ms, utility ").append(row.utility());
+        }
+        return words.toString();
+    }
+
+    private static String plain(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static boolean reportsByProbe(NamedValues settings) {
+        return switch (settings.text("report.source", "none")) {
+            case "probe" -> true;
+            case "answers", "none" -> false;
+            default -> throw settings.fault("report.source", "probe, answers or none");
+        };
     }
 
     private static long seed(NamedValues told) {
--- /dev/null
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -0,0 +1,270 @@
+package weldcross.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import weldcross.pgwire.Replies;
+import weldcross.terms.GatewayTerms;
+import weldcross.terms.NamedValues;
+
+/** A short run over loopback, with a server and a discovery of this project's own in the place of the real ones. */
+@Timeout(60)
+class ServiceTest {
+
+    /** Accepts until it is closed; each connection on a thread of its own. */
+    private abstract static class StandIn implements AutoCloseable {
+        final ServerSocket socket;
+        final List<Socket> open = new ArrayList<>();
+
+        StandIn() throws IOException {
+            socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            thread(() -> {
+                while (true) {
+                    Socket connection = socket.accept();
+                    synchronized (open) {
+                        open.add(connection);
+                    }
+                    thread(() -> serve(new DataInputStream(connection.getInputStream()), connection.getOutputStream()));
+                }
+            });
+        }
+
+        abstract void serve(DataInputStream in, OutputStream out) throws IOException;
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            synchronized (open) {
+                for (Socket connection : open) {
+                    connection.close();
+                }
+            }
+        }
+    }
+
+    /** A primary that keeps what is written, and reports itself at the present. */
+    private static final class Primary extends StandIn {
+        final Map<String, String> rows = new ConcurrentHashMap<>();
+
+        Primary() throws IOException {
+        }
+
+        @Override
+        void serve(DataInputStream in, OutputStream out) throws IOException {
+            in.readFully(new byte[in.readInt() - 4]);
+            out.write(message('R', "\0\0\0\0"));
+            out.write(message('Z', "I"));
+            while (true) {
+                String asked = next(in).substring(1);
+                String value;
+                if (asked.startsWith("SHOW")) {
+                    value = "x0=" + System.currentTimeMillis() / 1000.0 + ",x1=1";
+                } else if (asked.startsWith("INSERT")) {
+                    value = asked.split("\\\\x|'\\) ")[1];
+                    rows.put(asked.split("'")[1], value);
+                } else {
+                    value = rows.getOrDefault(asked.split("'")[1], "");
+                }
+                out.write(row(value));
+                out.write(message('S', "mode\0read-write\0"));
+                out.write(message('S', "wal_time\0" + System.currentTimeMillis() + "\0"));
+                out.write(message('Z', "I"));
+            }
+        }
+    }
+
+    private static final class Discovery extends StandIn {
+        private final String list;
+
+        Discovery(Primary primary) throws IOException {
+            list = "{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-0\",\"host_port\":\"127.0.0.1:"
+                    + primary.socket.getLocalPort() + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"active\"}]}";
+        }
+
+        @Override
+        @SuppressWarnings("deprecation")
+        void serve(DataInputStream in, OutputStream out) throws IOException {
+            String request = in.readLine();
+            while (!in.readLine().isEmpty()) {
+                continue;
+            }
+            if (request.startsWith("GET /catalog/members HTTP")) {
+                out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)
+                        .getBytes(StandardCharsets.US_ASCII));
+            }
+            // A watch in which nothing changes.
+            in.readLine();
+        }
+    }
+
+    /** A client, blocking. */
+    private static final class Client implements AutoCloseable {
+        final Socket socket = new Socket();
+        final DataInputStream in;
+
+        Client(InetSocketAddress at) throws IOException {
+            socket.connect(at);
+            in = new DataInputStream(socket.getInputStream());
+            send(Replies.startup());
+            answer();
+        }
+
+        void send(ByteBuffer bytes) throws IOException {
+            socket.getOutputStream().write(bytes.array(), 0, bytes.limit());
+        }
+
+        /** The messages up to ReadyForQuery, each with its type. */
+        List<String> answer() throws IOException {
+            List<String> messages = new ArrayList<>();
+            do {
+                messages.add(next(in));
+            } while (!messages.get(messages.size() - 1).startsWith("Z"));
+            return messages;
+        }
+
+        List<String> ask(String text) throws IOException {
+            send(Replies.query(text));
+            return answer();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private final List<AutoCloseable> standIns = new ArrayList<>();
+    private int named;
+
+    @AfterEach
+    void closeStandIns() throws Exception {
+        for (AutoCloseable each : standIns) {
+            each.close();
+        }
+    }
+
+    @Test
+    void servesOverLoopbackStopsAndStartsAgain() throws Exception {
+        Primary primary = new Primary();
+        Discovery discovery = new Discovery(primary);
+        standIns.addAll(List.of(primary, discovery));
+        for (int life = 0; life < 2; life++) {
+            Service service = new Service(terms(discovery));
+            CompletableFuture<Integer> status = CompletableFuture.supplyAsync(service::serve);
+            InetSocketAddress at = service.listening().get(20, TimeUnit.SECONDS);
+            try (Client client = new Client(at)) {
+                while (!client.ask("").get(0).startsWith("I")) {
+                    Thread.onSpinWait();
+                }
+                String value = "0f".repeat(60_000) + "a" + life;
+                assertEquals("D\0\1", write(client, value).get(1).substring(0, 3));
+                List<String> read = read(client);
+                assertEquals(List.of('T', 'D', 'C', 'Z'), read.stream().map(m -> m.charAt(0)).toList());
+                assertEquals(value, read.get(1).substring(7));
+                assertTrue(client.ask("DROP TABLE kv").get(0).contains("C42601"));
+                service.stop();
+                assertEquals(value, read(client).get(1).substring(7), "still served as it drains");
+                assertEquals(0, status.get(20, TimeUnit.SECONDS));
+                assertEquals(-1, client.in.read());
+            }
+            assertThrows(IOException.class, () -> new Client(at));
+        }
+    }
+
+    @Test
+    void anAddressInUseEndsTheStart() throws Exception {
+        Primary primary = new Primary();
+        Discovery discovery = new Discovery(primary);
+        standIns.addAll(List.of(primary, discovery));
+        GatewayTerms taken = GatewayTerms.of(NamedValues.ofJson(text(discovery).replace("127.0.0.1:0",
+                "127.0.0.1:" + primary.socket.getLocalPort()).getBytes(StandardCharsets.UTF_8)));
+        assertFalse(new Service(taken).serve() == 0);
+    }
+
+    private List<String> write(Client client, String hex) throws IOException {
+        return client.ask("INSERT INTO kv (name, content) VALUES ('k', '\\x" + hex + "') RETURNING content"
+                + " /* id=i" + named++ + ",c=entry-write,d=20000,cluster=0 */");
+    }
+
+    private List<String> read(Client client) throws IOException {
+        return client.ask("SELECT content FROM kv WHERE name = 'k' /* id=i" + named++
+                + ",c=entry-read,d=20000,cluster=0 */");
+    }
+
+    private static GatewayTerms terms(Discovery discovery) throws IOException {
+        return GatewayTerms.of(NamedValues.ofJson(text(discovery).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static String text(Discovery discovery) throws IOException {
+        return Files.readString(Path.of("deploy/example.json")).replace("127.0.0.1:6543", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", "127.0.0.1:" + discovery.socket.getLocalPort());
+    }
+
+    private static void thread(Step step) {
+        Thread thread = new Thread(() -> {
+            try {
+                step.run();
+            } catch (IOException | UncheckedIOException e) {
+                // Closed at the end of the test, or by the gateway.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static String next(DataInputStream in) throws IOException {
+        char type = (char) in.readByte();
+        byte[] body = new byte[in.readInt() - 4];
+        in.readFully(body);
+        return type + new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] row(String value) {
+        ByteBuffer d = ByteBuffer.allocate(6 + value.length()).putShort((short) 1).putInt(value.length())
+                .put(value.getBytes(StandardCharsets.ISO_8859_1));
+        String body = new String(d.array(), StandardCharsets.ISO_8859_1);
+        return concat(message('T', "\0\1one"), message('D', body), message('C', "SELECT 1\0"));
+    }
+
+    private static byte[] concat(byte[]... parts) {
+        ByteBuffer all = ByteBuffer.allocate(200_000);
+        for (byte[] part : parts) {
+            all.put(part);
+        }
+        byte[] bytes = new byte[all.position()];
+        all.flip().get(bytes);
+        return bytes;
+    }
+
+    private static byte[] message(char type, String body) {
+        byte[] b = body.getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(5 + b.length).put((byte) type).putInt(4 + b.length).put(b).array();
+    }
+}
