--- a/src/main/java/weldcross/cli/Commands.java
+++ b/src/main/java/weldcross/cli/Commands.java
@@ -10,14 +10,15 @@
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
 import weldcross.bench.WireLoop;
-import weldcross.gateway.Service;
+import weldcross.gateway.Rehearsal;
 import weldcross.terms.FaultyTerm;
 import weldcross.terms.GatewayTerms;
 
 /** The command line: one sub-command a shape that the program can take. */
 @Command(name = "weldcross", description = "Routes reads and writes in a replicated store.",
         mixinStandardHelpOptions = true, versionProvider = Commands.FromBuild.class, synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Commands.Serve.class, Commands.Check.class, Commands.WireHost.class, Commands.Version.class})
+        subcommands = {Commands.Serve.class, Commands.Check.class, Commands.Rehearse.class, Commands.WireHost.class,
+            Commands.Version.class})
 public final class Commands implements Runnable {
 
     /** Ended as asked; what was told at the start cannot be used; the command line cannot. */
@@ -62,12 +63,13 @@
 
         @Override
         public Integer call() {
+            Level parsed;
             try {
-                LogLines.start(Level.parse(level));
+                parsed = Level.parse(level);
             } catch (IllegalArgumentException e) {
                 throw new CommandLine.ParameterException(spec.commandLine(), "--log: no such level: " + level);
             }
-            return Service.run(GatewayTerms.read(System.getenv()));
+            return Serving.run(parsed);
         }
     }
 
@@ -90,6 +92,20 @@
         }
     }
 
+    @Command(name = "rehearse", mixinStandardHelpOptions = true,
+            description = "Starts a gateway on a loopback port of its own without servers, asks it once, stops it.")
+    static final class Rehearse implements Callable<Integer> {
+
+        @CommandLine.Parameters(arity = "1", paramLabel = "FILE", description = "The configuration.")
+        private String file;
+
+        @Override
+        public Integer call() throws IOException {
+            LogLines.start(Level.WARNING);
+            return Rehearsal.run(GatewayTerms.read(file));
+        }
+    }
+
     @Command(name = "wirehost", mixinStandardHelpOptions = true,
             description = "Hosts many instances on the bench's wire: standard input and output.")
     static final class WireHost implements Callable<Integer> {
--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -1,6 +1,7 @@
 package weldcross.terms;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
@@ -75,6 +76,16 @@
                 settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe(settings), told.under("known"));
     }
 
+    /** The same on a loopback port that the system picks, where nobody else is: one server that is not there. */
+    public GatewayTerms alone() {
+        InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        NamedValues list = NamedValues.ofPairs(("revision=0 complete=true members.count=1 members.0.id=s-0 members.0.cell=0 "
+                + "members.0.host_port=127.0.0.1:1 members.0.phase=active").split(" "), 0);
+        return new GatewayTerms(name, free, nobody, seed, sockets, service, methods, tenants, zones, null, null,
+                idleClose, connectTimeout, reportsByProbe, list);
+    }
+
     /** What would be served, for a person to read. */
     public String inWords() {
         StringBuilder words = new StringBuilder("gateway ").append(name).append(" on ").append(plain(listen))
--- a/src/test/java/weldcross/cli/CommandsTest.java
+++ b/src/test/java/weldcross/cli/CommandsTest.java
@@ -64,6 +64,11 @@
         assertTrue(complained.toString(StandardCharsets.UTF_8).contains("NODE_CONFIG: found nothing"));
     }
 
+    @Test
+    void aRehearsalStartsAnswersAndStops() {
+        assertEquals(Commands.OK, Commands.run("rehearse", "deploy/example.json"));
+    }
+
     @Test
     void wirehostAnswersTheBench() {
         System.setIn(new ByteArrayInputStream("BATCH 1\nYOUR_TURN\n".getBytes(StandardCharsets.UTF_8)));
@@ -80,7 +85,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "dance", "serve --loud", "serve --log LOUDLY", "check a b", "version x"})
+    @ValueSource(strings = {"", "dance", "serve --loud", "serve --log LOUDLY", "check a b", "rehearse", "version x"})
     void wrongArgumentsGetUsageAndTwo(String line) {
         assertEquals(Commands.USAGE, Commands.run(line.isEmpty() ? new String[0] : line.split(" ")));
         assertTrue(complained.toString(StandardCharsets.UTF_8).contains("Usage: weldcross"));
@@ -88,7 +93,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"--help", "serve --help", "check --help", "wirehost --help", "version --help"})
+    @ValueSource(strings = {"--help", "serve --help", "check --help", "rehearse --help", "wirehost --help", "version --help"})
     void helpIsUsageAndNoFault(String line) {
         assertEquals(Commands.OK, Commands.run(line.split(" ")));
         assertTrue(said.toString(StandardCharsets.UTF_8).startsWith("Usage: weldcross"));
