--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -5,12 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import weldcross.discovery.ListedMember;
 import weldcross.peers.PeerWord;
@@ -116,8 +115,10 @@
                 answer(rpc, answer.forClient());
             }
             long millis = answer == null ? 0 : answer.positionMillis();
-            router.callOutEnded(now, rpc.id, number, server, outcome, now.minus(sent),
-                    answer == null ? null : answer.primary(), millis == 0 ? null : since(millis), rpc.answered);
+            Boolean primary = answer == null ? null : answer.primary();
+            noteRole(server, primary);
+            router.callOutEnded(now, rpc.id, number, server, outcome, now.minus(sent), primary, millis == 0
+                    ? null : since(millis), rpc.answered);
             report(server, answer == null ? null : answer.stats());
             forget(rpc);
         }
@@ -153,7 +154,10 @@
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
     private final Map<Long, Client> clients = new LinkedHashMap<>();
     private final Map<RpcId, Rpc> rpcs = new LinkedHashMap<>();
-    private final Set<GroupId> groups = new HashSet<>();
+    private final Map<ServerId, GroupId> groups = new LinkedHashMap<>();
+    private final Map<GroupId, ServerId> primaries = new LinkedHashMap<>();
+    private final RareLog complaints = new RareLog(LOG);
+    private final RareLog claims = new RareLog(LOG);
     private final boolean reportsByProbe;
     private final int mostClients;
     private Router router;
@@ -348,10 +352,12 @@
     }
 
     void askedWrongly(long number, String state, String text) {
+        complain("a client's statement is turned away: " + text);
         inTurn(number, client -> write(client, Replies.error(state, text, null)));
     }
 
     void clientBroke(long number, String state, String text) {
+        complain("a client's stream cannot be read on: " + text);
         inTurn(number, client -> {
             write(client, Replies.fatal(state, text));
             client.ending = true;
@@ -422,7 +428,7 @@
             } else if (statement.tenant() != null && !terms.tenants().isEmpty()
                     && !terms.tenants().contains(statement.tenant())) {
                 fault = "unknown tenant";
-            } else if (!groups.contains(group)) {
+            } else if (!groups.containsValue(group)) {
                 fault = "unknown cluster";
             } else if (rpcs.containsKey(id)) {
                 fault = "id is in use";
@@ -433,6 +439,7 @@
         } catch (Malformed e) {
             fault = e.getMessage();
         }
+        complain("a client's statement is turned away: " + fault);
         write(client, Replies.error("22023", fault, null));
     }
 
@@ -464,6 +471,10 @@
 
     // ---- Servers
 
+    void complain(String what) {
+        complaints.say(now, Level.WARNING, what);
+    }
+
     ServerLinks links() {
         return links;
     }
@@ -485,10 +496,19 @@
         }
         if (report.position() != null) {
             long nanos = report.position().movePointRight(9).setScale(0, RoundingMode.FLOOR).longValue();
+            noteRole(server, report.primary());
             router.reported(now, server, Duration.ofNanos(nanos).minus(unixAtStart), report.primary());
         }
     }
 
+    /** For the log alone: what a server says of itself, which the router may know better. */
+    private void noteRole(ServerId server, Boolean primary) {
+        GroupId group = groups.get(server);
+        if (Boolean.TRUE.equals(primary) && !server.equals(primaries.put(group, server))) {
+            claims.say(now, Level.INFO, "group " + group.number() + ": " + server.name() + " says that it is the primary");
+        }
+    }
+
     private Duration since(long unixMillis) {
         return Duration.ofMillis(unixMillis).minus(unixAtStart);
     }
@@ -502,8 +522,9 @@
             if (m.address() != null) {
                 links.listed(server, m.address());
             }
-            groups.add(new GroupId(m.group()));
-            router.memberListed(now, server, new ZoneId(m.zone()), new GroupId(m.group()), m.condition(),
+            GroupId group = new GroupId(m.group());
+            groups.put(server, group);
+            router.memberListed(now, server, new ZoneId(m.zone()), group, m.condition(),
                     m.upSinceMillis() == 0 ? null : since(m.upSinceMillis()), m.head());
         }
         router.listEnds(now);
--- a/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -80,6 +80,7 @@
         }
         InetSocketAddress address = addresses.get(server);
         if (links.size() >= most || address == null) {
+            gateway.complain("no descriptor left for a connection to " + server.name());
             gateway.soon(() -> end(question, Outcome.NO_ROUTE, null));
             return;
         }
@@ -153,6 +154,9 @@
         if (ready != null) {
             ready.remove(link);
         }
+        if (!link.up) {
+            gateway.complain("no connection to " + link.server.name() + " at " + link.address);
+        }
         Question question = link.question;
         if (question == null) {
             return;
