--- a/src/main/java/weldcross/cli/Commands.java
+++ b/src/main/java/weldcross/cli/Commands.java
@@ -16,8 +16,10 @@
 
 /** The command line: one sub-command a shape that the program can take. */
 @Command(name = "weldcross", description = "Routes reads and writes in a replicated store.",
-        mixinStandardHelpOptions = true, versionProvider = Commands.FromBuild.class, synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Commands.Serve.class, Commands.Check.class, Commands.Rehearse.class, Commands.WireHost.class,
+        mixinStandardHelpOptions = true, versionProvider = Commands.FromBuild.class,
+                synopsisSubcommandLabel = "COMMAND",
+        subcommands = {Commands.Serve.class, Commands.Check.class, Commands.Rehearse.class,
+        Commands.WireHost.class,
             Commands.Version.class})
 public final class Commands implements Runnable {
 
@@ -67,14 +69,16 @@
             try {
                 parsed = Level.parse(level);
             } catch (IllegalArgumentException e) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "--log: no such level: " + level);
+                throw new CommandLine.ParameterException(spec.commandLine(), "--log: no such level: "
+                        + level);
             }
             return Serving.run(parsed);
         }
     }
 
     @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Reads a gateway's configuration and says what it would serve, or which key is at fault.")
+            description = "Reads a gateway's configuration and says what it would serve, or which key is "
+                    + "at fault.")
     static final class Check implements Callable<Integer> {
 
         @CommandLine.Parameters(arity = "0..1", paramLabel = "FILE",
@@ -93,7 +97,8 @@
     }
 
     @Command(name = "rehearse", mixinStandardHelpOptions = true,
-            description = "Starts a gateway on a loopback port of its own without servers, asks it once, stops it.")
+            description = "Starts a gateway on a loopback port of its own without servers, asks it once, "
+                    + "stops it.")
     static final class Rehearse implements Callable<Integer> {
 
         @CommandLine.Parameters(arity = "1", paramLabel = "FILE", description = "The configuration.")
--- a/src/main/java/weldcross/gateway/Effects.java
+++ b/src/main/java/weldcross/gateway/Effects.java
@@ -4,8 +4,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * What the reducer asks of the world. Each is begun at once and never waits; what comes of it comes back as an
- * event. A connection is known by the number that its accepting or its dialling gave it.
+ * What the reducer asks of the world. Each is begun at once and never waits; what comes of it comes back as
+ * an event. A connection is known by the number that its accepting or its dialling gave it.
  */
 interface Effects {
 
--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -30,9 +30,10 @@
 import weldcross.terms.LoadReport;
 
 /**
- * The one owner of a gateway's state. Every change of it is an event that goes through {@link #reduce}, on one
- * thread; the events call the router, which acts through this as its {@link Host}, and all that reaches the world
- * is asked of {@link Effects}. What the router decides is carried out as it says; nothing is decided here.
+ * The one owner of a gateway's state. Every change of it is an event that goes through {@link #reduce}, on
+ * one thread; the events call the router, which acts through this as its {@link Host}, and all that reaches
+ * the world is asked of {@link Effects}. What the router decides is carried out as it says; nothing is
+ * decided here.
  */
 public final class Gateway implements Host {
 
@@ -167,7 +168,10 @@
     private long lastNumber;
     private long taken, served, pushedBack, aborted, left;
 
-    /** @param unixAtStart what the wall clock showed, as time since 1970, when the time given to events was zero */
+    /**
+     * @param unixAtStart what the wall clock showed, as time since 1970, when the time given to events was
+     * zero
+     */
     Gateway(GatewayTerms terms, Effects effects, Duration unixAtStart) {
         this.terms = terms;
         this.effects = effects;
@@ -443,17 +447,20 @@
         write(client, Replies.error("22023", fault, null));
     }
 
-    private void take(Client client, Statement statement, RpcId id, int method, GroupId group, Duration patience)
+    private void take(Client client, Statement statement, RpcId id, int method, GroupId group,
+            Duration patience)
             throws Malformed {
         Rpc rpc = new Rpc(id, client, statement, now.plus(patience));
         taken++;
         client.rpc = rpc;
         rpcs.put(id, rpc);
         Need need = terms.service().methods().get(method).need();
-        SessionId session = need == Need.WRITE || need == Need.SESSION ? new SessionId(statement.key()) : null;
+        SessionId session = need == Need.WRITE || need == Need.SESSION ? new SessionId(statement.key())
+                : null;
         long after = statement.afterMillis();
         Duration sinceWrite = after == 0 ? Duration.ZERO : now.minus(since(after));
-        router.rpcArrived(now, id, method, group, session, sinceWrite.isNegative() ? Duration.ZERO : sinceWrite,
+        router.rpcArrived(now, id, method, group, session, sinceWrite.isNegative() ? Duration.ZERO
+                : sinceWrite,
                 patience, statement.isRepeat());
     }
 
@@ -505,7 +512,8 @@
     private void noteRole(ServerId server, Boolean primary) {
         GroupId group = groups.get(server);
         if (Boolean.TRUE.equals(primary) && !server.equals(primaries.put(group, server))) {
-            claims.say(now, Level.INFO, "group " + group.number() + ": " + server.name() + " says that it is the primary");
+            claims.say(now, Level.INFO, "group " + group.number() + ": " + server.name()
+                    + " says that it is the primary");
         }
     }
 
--- a/src/main/java/weldcross/gateway/GatheredBuffer.java
+++ b/src/main/java/weldcross/gateway/GatheredBuffer.java
@@ -20,7 +20,9 @@
         return channel.write(parts);
     }
 
-    /** MINA writes a duplicate of what it is given, and a wrapper's duplicate is one of its first part alone. */
+    /**
+     * MINA writes a duplicate of what it is given, and a wrapper's duplicate is one of its first part alone.
+     */
     @Override
     public IoBuffer duplicate() {
         return this;
--- a/src/main/java/weldcross/gateway/ListWatch.java
+++ b/src/main/java/weldcross/gateway/ListWatch.java
@@ -10,7 +10,9 @@
 import weldcross.terms.GatewayTerms;
 import weldcross.terms.NamedValues;
 
-/** The reducer's talk with discovery: the list as last had, the whole list, then one watch after the other. */
+/**
+ * The reducer's talk with discovery: the list as last had, the whole list, then one watch after the other.
+ */
 final class ListWatch {
 
     private static final Logger LOG = Logger.getLogger(ListWatch.class.getName());
@@ -80,7 +82,8 @@
         long next = told.whole("revision", -1, 0);
         boolean whole = told.flag("complete", true);
         if (next != revision && !(members.isEmpty() && !whole)) {
-            LOG.info(() -> "list " + next + (whole ? " whole, " : " changed, ") + members.size() + " entries");
+            LOG.info(() -> "list " + next + (whole ? " whole, " : " changed, ") + members.size()
+                    + " entries");
         }
         revision = next;
         gateway.listed(whole, members);
--- a/src/main/java/weldcross/gateway/Loop.java
+++ b/src/main/java/weldcross/gateway/Loop.java
@@ -19,7 +19,10 @@
         posted.add(event);
     }
 
-    /** Returns when the gateway has stopped; a fault in it comes out, as a process that only seems alive is worse. */
+    /**
+     * Returns when the gateway has stopped; a fault in it comes out, as a process that only seems alive is
+     * worse.
+     */
     void run(Gateway gateway) throws InterruptedException {
         while (gateway.phase() != Gateway.Phase.STOPPED) {
             Duration next = gateway.nextDue();
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -306,7 +306,8 @@
     }
 
     private Stream discovery(long number) {
-        HttpReader reader = new HttpReader((status, body) -> loop.post(g -> g.list().answered(number, status, body)));
+        HttpReader reader = new HttpReader((status, body) -> loop.post(g -> g.list().answered(number, status,
+                body)));
         return new Stream() {
             @Override
             void opened() {
--- a/src/main/java/weldcross/gateway/RareLog.java
+++ b/src/main/java/weldcross/gateway/RareLog.java
@@ -4,7 +4,9 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Lines about what may happen with every RPC: the first at once, then one a second with a count of the rest. */
+/**
+ * Lines about what may happen with every RPC: the first at once, then one a second with a count of the rest.
+ */
 final class RareLog {
 
     private static final Duration APART = Duration.ofSeconds(1);
--- a/src/main/java/weldcross/peers/PeerWord.java
+++ b/src/main/java/weldcross/peers/PeerWord.java
@@ -24,7 +24,8 @@
             return null;
         }
         try {
-            return new ServerId(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(message)).toString());
+            return new ServerId(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(message))
+                    .toString());
         } catch (CharacterCodingException e) {
             return null;
         }
--- a/src/main/java/weldcross/pgwire/FrameReader.java
+++ b/src/main/java/weldcross/pgwire/FrameReader.java
@@ -3,8 +3,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * Cuts a stream into messages, however it is split. A message that lies whole in what was read is handed on as a
- * slice of it, in place; only one that is split is gathered, once, in a buffer of its own size.
+ * Cuts a stream into messages, however it is split. A message that lies whole in what was read is handed on
+ * as a slice of it, in place; only one that is split is gathered, once, in a buffer of its own size.
  */
 public final class FrameReader {
 
--- a/src/main/java/weldcross/pgwire/Replies.java
+++ b/src/main/java/weldcross/pgwire/Replies.java
@@ -45,7 +45,8 @@
     /** The start of a session at a server. */
     public static ByteBuffer startup() {
         byte[] body = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.US_ASCII);
-        return ByteBuffer.allocate(8 + body.length).putInt(8 + body.length).putInt(FrameReader.VERSION_3).put(body)
+        return ByteBuffer.allocate(8 + body.length).putInt(8 + body.length).putInt(FrameReader.VERSION_3)
+                .put(body)
                 .flip();
     }
 
@@ -60,7 +61,8 @@
 
     private static byte[] message(char type, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(5 + bytes.length).put((byte) type).putInt(4 + bytes.length).put(bytes).array();
+        return ByteBuffer.allocate(5 + bytes.length).put((byte) type).putInt(4 + bytes.length).put(bytes)
+                .array();
     }
 
     private static ByteBuffer join(byte[]... messages) {
--- a/src/main/java/weldcross/pgwire/Statement.java
+++ b/src/main/java/weldcross/pgwire/Statement.java
@@ -4,8 +4,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * One RPC as its client wrote it: a read or write of one key with a comment that says the rest. Only the head's
- * fields become text; the value stays where it was read, and goes out from there.
+ * One RPC as its client wrote it: a read or write of one key with a comment that says the rest. Only the
+ * head's fields become text; the value stays where it was read, and goes out from there.
  */
 public final class Statement {
 
--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -24,7 +24,8 @@
  * @param reportsByProbe whether a probe is answered with a load report
  * @param known the server list as this gateway last had it
  */
-public record GatewayTerms(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+public record GatewayTerms(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets,
         ServiceTerms service, List<String> methods, List<String> tenants, List<String> zones,
         InetSocketAddress peerListen, InetSocketAddress peersAll, Duration idleClose, Duration connectTimeout,
         boolean reportsByProbe, NamedValues known) {
@@ -68,21 +69,28 @@
             tenants.add(settings.text("tenants." + k + ".name"));
         }
         boolean peers = service.tells() && told.has("peer_listen");
-        return new GatewayTerms(told.text("name"), told.address("listen"), told.address("discovery"), seed(told),
-                (int) told.whole("limits.sockets", 1024, 64), service, List.copyOf(methods), List.copyOf(tenants),
+        return new GatewayTerms(told.text("name"), told.address("listen"), told.address("discovery"),
+                seed(told),
+                (int) told.whole("limits.sockets", 1024, 64), service, List.copyOf(methods),
+                List.copyOf(tenants),
                 settings.list("zones"), peers ? told.address("peer_listen") : null,
                 peers ? told.address("peers_all") : null,
                 settings.span("bounds.idleClose", Duration.ofSeconds(30)),
-                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe(settings), told.under("known"));
+                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe(settings),
+                told.under("known"));
     }
 
-    /** The same on a loopback port that the system picks, where nobody else is: one server that is not there. */
+    /**
+     * The same on a loopback port that the system picks, where nobody else is: one server that is not there.
+     */
     public GatewayTerms alone() {
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-        NamedValues list = NamedValues.ofPairs(("revision=0 complete=true members.count=1 members.0.id=s-0 members.0.cell=0 "
+        NamedValues list = NamedValues.ofPairs(("revision=0 complete=true members.count=1 "
+                + "members.0.id=s-0 members.0.cell=0 "
                 + "members.0.host_port=127.0.0.1:1 members.0.phase=active").split(" "), 0);
-        return new GatewayTerms(name, free, nobody, seed, sockets, service, methods, tenants, zones, null, null,
+        return new GatewayTerms(name, free, nobody, seed, sockets, service, methods, tenants, zones, null,
+                null,
                 idleClose, connectTimeout, reportsByProbe, list);
     }
 
@@ -94,9 +102,11 @@
                 .append(service.gateways()).append(" gateways");
         for (int k = 0; k < methods.size(); k++) {
             MethodRow row = service.methods().get(k);
-            words.append("\n  ").append(methods.get(k)).append(": ").append(row.need().name().toLowerCase(Locale.ROOT))
+            words.append("\n  ").append(methods.get(k)).append(": ").append(row.need().name()
+                    .toLowerCase(Locale.ROOT))
                     .append(row.bound().isZero() ? "" : " " + row.bound().toMillis() + " ms").append(", ")
-                    .append(row.effect().name().toLowerCase(Locale.ROOT).replace('_', '-')).append(", soft deadline ")
+                    .append(row.effect().name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                    .append(", soft deadline ")
                     .append(row.softDeadline().toMillis()).append(" ms, utility ").append(row.utility());
         }
         return words.toString();
--- a/src/main/java/weldcross/terms/NamedValues.java
+++ b/src/main/java/weldcross/terms/NamedValues.java
@@ -12,9 +12,9 @@
 import java.util.Map;
 
 /**
- * Values under dotted keys, as the bench's wire writes them; JSON is flattened to the same form, so that both are
- * read by the same checks: a list of plain values is joined by commas, a list of objects has its length under
- * {@code .count} and its items under {@code .0}, {@code .1} and so on.
+ * Values under dotted keys, as the bench's wire writes them; JSON is flattened to the same form, so that
+ * both are read by the same checks: a list of plain values is joined by commas, a list of objects has its
+ * length under {@code .count} and its items under {@code .0}, {@code .1} and so on.
  */
 public final class NamedValues {
 
--- a/src/main/java/weldcross/terms/TermsReader.java
+++ b/src/main/java/weldcross/terms/TermsReader.java
@@ -25,7 +25,8 @@
         for (int k = 0; k < told.count("categories"); k++) {
             NamedValues method = told.under("categories." + k);
             rows.add(new MethodRow(k < needs.size() ? need(told, needs.get(k)) : Need.ANY,
-                    k < bounds.size() ? bound(told, bounds.get(k)) : Duration.ZERO, effect(method), scope(method),
+                    k < bounds.size() ? bound(told, bounds.get(k)) : Duration.ZERO, effect(method),
+                    scope(method),
                     method.span("dedupWindow", Duration.ZERO),
                     method.span("target", method.span("deadline", Duration.ZERO)),
                     method.real("worth", 1, 0), method.real("lateWorth", 0, 0)));
@@ -55,7 +56,8 @@
             case "session" -> Need.SESSION;
             case "bounded" -> Need.BOUNDED;
             case "any" -> Need.ANY;
-            default -> throw told.fault("familyInfo.freshness", "write, fresh, session, bounded or any for each");
+            default -> throw told.fault("familyInfo.freshness",
+                    "write, fresh, session, bounded or any for each");
         };
     }
 
--- a/src/test/java/weldcross/cli/CommandsTest.java
+++ b/src/test/java/weldcross/cli/CommandsTest.java
@@ -45,7 +45,8 @@
     void checkSaysWhatWouldBeServed() {
         assertEquals(Commands.OK, Commands.run("check", "deploy/example.json"));
         String text = said.toString(StandardCharsets.UTF_8);
-        assertTrue(text.contains("n0") && text.contains("127.0.0.1:6543") && text.contains("entry-write"), text);
+        assertTrue(text.contains("n0") && text.contains("127.0.0.1:6543") && text.contains("entry-write"),
+                text);
     }
 
     @Test
@@ -81,11 +82,13 @@
     @Test
     void theVersionIsTheBuilds() {
         assertEquals(Commands.OK, Commands.run("version"));
-        assertTrue(said.toString(StandardCharsets.UTF_8).matches("weldcross \\d+\\.\\d+\\.\\d+(-\\w+)?\\R"), said.toString());
+        assertTrue(said.toString(StandardCharsets.UTF_8).matches("weldcross \\d+\\.\\d+\\.\\d+(-\\w+)?\\R"),
+                said.toString());
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "dance", "serve --loud", "serve --log LOUDLY", "check a b", "rehearse", "version x"})
+    @ValueSource(strings = {"", "dance", "serve --loud", "serve --log LOUDLY", "check a b", "rehearse",
+            "version x"})
     void wrongArgumentsGetUsageAndTwo(String line) {
         assertEquals(Commands.USAGE, Commands.run(line.isEmpty() ? new String[0] : line.split(" ")));
         assertTrue(complained.toString(StandardCharsets.UTF_8).contains("Usage: weldcross"));
@@ -93,7 +96,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"--help", "serve --help", "check --help", "rehearse --help", "wirehost --help", "version --help"})
+    @ValueSource(strings = {"--help", "serve --help", "check --help", "rehearse --help", "wirehost --help",
+            "version --help"})
     void helpIsUsageAndNoFault(String line) {
         assertEquals(Commands.OK, Commands.run(line.split(" ")));
         assertTrue(said.toString(StandardCharsets.UTF_8).startsWith("Usage: weldcross"));
--- a/src/test/java/weldcross/discovery/DiscoveryTest.java
+++ b/src/test/java/weldcross/discovery/DiscoveryTest.java
@@ -26,7 +26,8 @@
     void responsesReadTheSameInPiecesOfAnySize() throws HttpReader.Malformed {
         String stream = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nServer: x\r\n\r\nhello"
                 + "HTTP/1.1 100 Continue\r\n\r\n"
-                + "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nT: 1\r\n\r\n"
+                + "HTTP/1.1 200 OK\r\ntransfer-encoding: "
+                + "chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nT: 1\r\n\r\n"
                 + "HTTP/1.1 503 Busy\nContent-Length: 0\n\n";
         List<String> expected = List.of("200 hello", "200 hello", "503 ");
         assertEquals(expected, read(stream, null));
@@ -36,8 +37,10 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"SSH-2.0-x\r\n", "HTTP/1.1 20x OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
+    @ValueSource(strings = {"SSH-2.0-x\r\n", "HTTP/1.1 20x OK\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
     void whatIsNoResponseIsToldSo(String stream) {
         assertThrows(HttpReader.Malformed.class, () -> read(stream, null));
     }
@@ -69,7 +72,8 @@
 
     private static List<ListedMember> members(String... entries) {
         String text = "{\"revision\":41,\"complete\":true,\"members\":[" + String.join(",", entries) + "]}";
-        return ListedMember.read(NamedValues.ofJson(text.getBytes(StandardCharsets.UTF_8)), List.of("a", "b"));
+        return ListedMember.read(NamedValues.ofJson(text.getBytes(StandardCharsets.UTF_8)), List.of("a",
+                "b"));
     }
 
     private static List<String> read(String stream, SplittableRandom dice) throws HttpReader.Malformed {
--- a/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/src/test/java/weldcross/gateway/GatewayTest.java
@@ -36,12 +36,15 @@
 import weldcross.terms.GatewayTerms;
 import weldcross.terms.NamedValues;
 
-/** The reducer under recorded effects and a clock moved by hand; what it asks for is checked at every step. */
+/**
+ * The reducer under recorded effects and a clock moved by hand; what it asks for is checked at every step.
+ */
 class GatewayTest {
 
     private static final long UNIX_MILLIS = 1_800_000_000_000L;
     private static final Duration GRACE = Duration.ofMillis(70);
-    private static final Pattern STATEMENT = Pattern.compile("(SELECT|INSERT).* id=(\\w+),c=(\\w+),d=(\\d+),cluster=0.*");
+    private static final Pattern STATEMENT = Pattern.compile("(SELECT|INSERT).* id=(\\w+),c=(\\w+),"
+            + "d=(\\d+),cluster=0.*");
 
     /** One connection as the other side has it. */
     private static final class Wire {
@@ -172,15 +175,18 @@
             String id = "a" + named++;
             deadlines.put(id, now.plusMillis(wait));
             askedBy.put(id, client);
-            String comment = " /* id=" + id + ",c=" + (write ? "file" : "look") + ",d=" + wait + ",cluster=0 */";
-            say(client, Replies.query(write ? "INSERT INTO kv (name, content) VALUES ('k', '\\x00') RETURNING content"
+            String comment = " /* id=" + id + ",c=" + (write ? "file" : "look") + ",d=" + wait
+                    + ",cluster=0 */";
+            say(client, Replies.query(write
+                    ? "INSERT INTO kv (name, content) VALUES ('k', '\\x00') RETURNING content"
                     + comment : "SELECT content FROM kv WHERE name = 'k'" + comment));
             return id;
         }
 
         /** Whether the client has asked and had no answer. */
         boolean waits(long client) {
-            return askedBy.entrySet().stream().anyMatch(e -> e.getValue() == client && !answers.containsKey(e.getKey()));
+            return askedBy.entrySet().stream().anyMatch(e -> e.getValue() == client
+                    && !answers.containsKey(e.getKey()));
         }
 
         void leave(long client) {
@@ -208,7 +214,8 @@
             }
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             if (state == null) {
-                String value = id == null ? "x0=" + (UNIX_MILLIS + now.toMillis()) / 1000.0 + ",x1=" + (primary ? 1 : 0)
+                String value = id == null ? "x0=" + (UNIX_MILLIS + now.toMillis()) / 1000.0 + ",x1="
+                        + (primary ? 1 : 0)
                         : "v-" + id;
                 all.writeBytes(message('T', "\0\1one"));
                 all.writeBytes(message('D', "\0\1\0\0\0" + (char) value.length() + value));
@@ -240,7 +247,8 @@
         /** Connections to servers that carry a statement or a probe, in the order of their dialling. */
         List<Long> asked() {
             return new ArrayList<>(wires.entrySet().stream()
-                    .filter(e -> e.getValue().open && e.getValue().statement != null).map(Map.Entry::getKey).toList());
+                    .filter(e -> e.getValue().open && e.getValue().statement != null).map(Map.Entry::getKey)
+                    .toList());
         }
 
         private void feed(Wire wire, ByteBuffer bytes) {
@@ -323,7 +331,8 @@
             String id = m.group(2);
             check(!answers.containsKey(id) && !left.contains(id), "rule 1: sent after its answer");
             Set<Long> out = outOn.computeIfAbsent(id, i -> new HashSet<>());
-            check(m.group(1).equals("SELECT") || out.isEmpty() && !mayHaveRun.contains(id), "rule 2: sent twice");
+            check(m.group(1).equals("SELECT") || out.isEmpty() && !mayHaveRun.contains(id),
+                    "rule 2: sent twice");
             check(now.plusMillis(Long.parseLong(m.group(4))).compareTo(deadlines.get(id).plus(GRACE)) <= 0,
                     "a server is told more time than there is");
             out.add(link);
@@ -397,7 +406,8 @@
             List<Long> asked = w.asked();
             if (kind < 25) {
                 List<Long> free = clients.stream().filter(c -> !w.waits(c)).toList();
-                long client = free.isEmpty() || dice.nextInt(4) == 0 ? w.connect() : free.get(dice.nextInt(free.size()));
+                long client = free.isEmpty() || dice.nextInt(4) == 0 ? w.connect()
+                        : free.get(dice.nextInt(free.size()));
                 clients.remove(client);
                 boolean write = dice.nextInt(3) == 0;
                 if (write) {
@@ -411,11 +421,13 @@
                 long link = asked.get(dice.nextInt(asked.size()));
                 int how = dice.nextInt(40);
                 boolean misses = World.id(w.wires.get(link).statement) != null
-                        && w.wires.get(link).statement.startsWith("INSERT") && !w.wires.get(link).server.equals("s-0");
+                        && w.wires.get(link).statement.startsWith("INSERT") && !w.wires.get(link)
+                        .server.equals("s-0");
                 if (how == 0) {
                     w.end(link);
                 } else {
-                    w.answer(link, misses ? "25006" : how == 1 ? "XX000" : how == 2 ? "53300" : how == 3 ? "99999" : null);
+                    w.answer(link, misses ? "25006" : how == 1 ? "XX000" : how == 2 ? "53300" : how == 3
+                            ? "99999" : null);
                 }
             } else if (kind == 71) {
                 String server = "s-" + dice.nextInt(3);
@@ -427,8 +439,10 @@
             }
         }
         w.wait(5000);
-        w.deadlines.keySet().forEach(id -> check(w.answers.containsKey(id) || w.left.contains(id), "rule 1: lost " + id));
-        assertTrue(w.answers.values().stream().filter("ok"::equals).count() > 100, "hardly any served: " + w.answers);
+        w.deadlines.keySet().forEach(id -> check(w.answers.containsKey(id) || w.left.contains(id),
+                "rule 1: lost " + id));
+        assertTrue(w.answers.values().stream().filter("ok"::equals).count() > 100, "hardly any served: "
+                + w.answers);
     }
 
     @Test
@@ -443,7 +457,8 @@
         list(w, 41, true, "active");
         w.say(client, Replies.query(""));
         assertTrue(w.wires.get(client).take().startsWith("I"));
-        assertTrue(w.wires.get(w.discovery).take().startsWith("GET /catalog/members?since=41&timeout_ms=5000 "));
+        assertTrue(w.wires.get(w.discovery).take()
+                .startsWith("GET /catalog/members?since=41&timeout_ms=5000 "));
     }
 
     @Test
@@ -473,7 +488,8 @@
         long before = on(w, id);
         w.answer(before, null);
         w.tell(g -> g.list().up(w.discovery));
-        String text = "{\"revision\":8,\"complete\":false,\"members\":[" + member(0, "active").replace("7000", "7008") + "]}";
+        String text = "{\"revision\":8,\"complete\":false,\"members\":[" + member(0, "active").replace("7000",
+                "7008") + "]}";
         w.tell(g -> g.list().answered(w.discovery, 200, text.getBytes(StandardCharsets.UTF_8)));
         w.flush();
         assertTrue(w.wires.get(before).dropped);
@@ -499,8 +515,10 @@
         String id = w.ask(client, false, 500);
         w.answer(on(w, id), null);
         String value = "v-" + id;
-        assertEquals(new String(message('T', "\0\1one"), StandardCharsets.ISO_8859_1) + "D" + "\0\0\0" + (char) (10
-                + value.length()) + "\0\1\0\0\0" + (char) value.length() + value + "C\0\0\0\15SELECT 1\0Z\0\0\0\5I",
+        assertEquals(new String(message('T', "\0\1one"), StandardCharsets.ISO_8859_1) + "D" + "\0\0\0"
+                + (char) (10
+                + value.length()) + "\0\1\0\0\0" + (char) value.length() + value
+                + "C\0\0\0\15SELECT 1\0Z\0\0\0\5I",
                 w.wires.get(client).take());
     }
 
@@ -539,7 +557,8 @@
         w.wait(300);
         w.answerProbes();
         w.wait(600);
-        assertTrue(w.told.stream().anyMatch(t -> t.startsWith("tell 7947 s-")), "peers were not told: " + w.told);
+        assertTrue(w.told.stream().anyMatch(t -> t.startsWith("tell 7947 s-")), "peers were not told: "
+                + w.told);
         w.asked().forEach(l -> w.answer(l, null));
         assertEquals("ok", w.answers.get(id));
     }
@@ -551,7 +570,8 @@
         w.writes.add("a" + w.named);
         w.deadlines.put("a" + w.named, w.now.plusMillis(2000));
         // Written, but not out: the flush that the world does after each step is what is left out here.
-        w.wires.get(client).fromClient.feed(Replies.query("INSERT INTO kv (name, content) VALUES ('k', '\\x00') "
+        w.wires.get(client).fromClient.feed(Replies.query("INSERT INTO kv (name, content) VALUES ('k', "
+                + "'\\x00') "
                 + "RETURNING content /* id=a0,c=file,d=2000,cluster=0 */"));
         w.askedBy.put("a0", client);
         long link = on(w, "a0");
@@ -624,7 +644,8 @@
         }
         assertTrue(w.told.contains("hold " + client));
         for (int k = 0; k < 12; k++) {
-            w.asked().stream().filter(l -> World.id(w.wires.get(l).statement) != null).forEach(l -> w.answer(l, null));
+            w.asked().stream().filter(l -> World.id(w.wires.get(l).statement) != null).forEach(l ->
+                    w.answer(l, null));
             w.wait(40);
             w.answerProbes();
         }
@@ -663,7 +684,8 @@
         w.wires.put(number, new Wire());
         w.tell(g -> g.accepted(number));
         assertTrue(w.wires.get(number).take().contains("C53300") && w.told.contains("finish " + number));
-        assertTrue(w.wires.entrySet().stream().filter(e -> e.getKey() < 0 && e.getValue().open).count() <= 24);
+        assertTrue(w.wires.entrySet().stream().filter(e -> e.getKey() < 0 && e.getValue().open)
+                .count() <= 24);
     }
 
     @Test
@@ -733,7 +755,8 @@
     }
 
     private static void list(World w, int revision, boolean whole, String phase) {
-        String text = "{\"revision\":" + revision + ",\"complete\":" + whole + ",\"members\":[" + member(0, "active") + ","
+        String text = "{\"revision\":" + revision + ",\"complete\":" + whole + ",\"members\":[" + member(0,
+                "active") + ","
                 + member(1, phase) + "]}";
         w.tell(g -> g.list().answered(w.discovery, 200, text.getBytes(StandardCharsets.UTF_8)));
         w.flush();
@@ -745,17 +768,26 @@
     }
 
     private static byte[] config(String... changes) {
-        String text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"8c1f\","
-                + "\"limits\":{\"sockets\":1024},\"peer_listen\":\"127.0.0.1:7946\",\"peers_all\":\"127.0.0.1:7947\","
+        String text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
+                + "\"seed\":\"8c1f\","
+                + "\"limits\":{\"sockets\":1024},\"peer_listen\":\"127.0.0.1:7946\","
+                + "\"peers_all\":\"127.0.0.1:7947\","
                 + "\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + member(0, "active") + ","
-                + member(1, "active") + "," + member(2, "active") + "]},\"settings\":{\"bounds\":{\"cancel\":true,"
-                + "\"connectTimeout\":250000,\"idleClose\":30000000,\"maxRetryAfter\":500000,\"mayProbe\":true,"
-                + "\"mayTell\":true,\"parallelTries\":true,\"retryAfter\":true,\"tryLimit\":10},\"categories\":["
-                + "{\"name\":\"look\",\"effect\":\"idempotent\",\"target\":750000,\"worth\":3.0,\"lateWorth\":0.1},"
-                + "{\"name\":\"file\",\"effect\":\"at_most_once\",\"target\":600000,\"worth\":3.0,\"lateWorth\":0.5}],"
-                + "\"familyInfo\":{\"freshness\":[\"bounded\",\"write\"],\"lagAllowed\":[800000,0],\"tokenMode\":"
+                + member(1, "active") + "," + member(2, "active")
+                + "]},\"settings\":{\"bounds\":{\"cancel\":true,"
+                + "\"connectTimeout\":250000,\"idleClose\":30000000,\"maxRetryAfter\":500000,"
+                + "\"mayProbe\":true,"
+                + "\"mayTell\":true,\"parallelTries\":true,\"retryAfter\":true,\"tryLimit\":10},"
+                + "\"categories\":["
+                + "{\"name\":\"look\",\"effect\":\"idempotent\",\"target\":750000,\"worth\":3.0,"
+                + "\"lateWorth\":0.1},"
+                + "{\"name\":\"file\",\"effect\":\"at_most_once\",\"target\":600000,\"worth\":3.0,"
+                + "\"lateWorth\":0.5}],"
+                + "\"familyInfo\":{\"freshness\":[\"bounded\",\"write\"],\"lagAllowed\":[800000,0],"
+                + "\"tokenMode\":"
                 + "\"remembered\"},\"invariants\":{\"cold\":17000000,\"coldFrom\":0.29,\"fall\":1000000,"
-                + "\"fallMultiple\":2.0,\"mustAskIn\":10000000},\"nInstances\":2,\"report\":{\"source\":\"probe\"},"
+                + "\"fallMultiple\":2.0,\"mustAskIn\":10000000},\"nInstances\":2,"
+                + "\"report\":{\"source\":\"probe\"},"
                 + "\"tenants\":[{\"name\":\"acme\"}],\"zones\":[\"a\"]}}";
         for (int k = 0; k < changes.length; k += 2) {
             check(text.contains(changes[k]), "no such part: " + changes[k]);
--- a/src/test/java/weldcross/gateway/ServiceTest.java
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -30,7 +30,10 @@
 import weldcross.terms.GatewayTerms;
 import weldcross.terms.NamedValues;
 
-/** A short run over loopback, with a server and a discovery of this project's own in the place of the real ones. */
+/**
+ * A short run over loopback, with a server and a discovery of this project's own in the place of the real
+ * ones.
+ */
 @Timeout(60)
 class ServiceTest {
 
@@ -47,7 +50,8 @@
                     synchronized (open) {
                         open.add(connection);
                     }
-                    thread(() -> serve(new DataInputStream(connection.getInputStream()), connection.getOutputStream()));
+                    thread(() -> serve(new DataInputStream(connection.getInputStream()),
+                            connection.getOutputStream()));
                 }
             });
         }
@@ -101,7 +105,8 @@
 
         Discovery(Primary primary) throws IOException {
             list = "{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-0\",\"host_port\":\"127.0.0.1:"
-                    + primary.socket.getLocalPort() + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"active\"}]}";
+                    + primary.socket.getLocalPort()
+                    + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"active\"}]}";
         }
 
         @Override
--- a/src/test/java/weldcross/pgwire/PgWireTest.java
+++ b/src/test/java/weldcross/pgwire/PgWireTest.java
@@ -39,7 +39,8 @@
 
         @Override
         public void asked(Statement s) {
-            words.add("asked " + s.id() + " " + s.key() + " " + s.isWrite() + " " + text(s.withWait(77)).hashCode());
+            words.add("asked " + s.id() + " " + s.key() + " " + s.isWrite() + " " + text(s.withWait(77))
+                    .hashCode());
         }
 
         @Override
@@ -65,7 +66,8 @@
 
     @Test
     void aClientsStreamReadsTheSameInPiecesOfAnySize() {
-        byte[] stream = bytes(untyped(80877103), untyped(80877104), start(), query(READ), query(""), query(READ),
+        byte[] stream = bytes(untyped(80877103), untyped(80877104), start(), query(READ), query(""),
+                query(READ),
                 query("SELECT 1"), query(write("00ff".repeat(30_000))), message('X', ""));
         List<String> whole = hear(stream, null);
         assertEquals(List.of("encryption", "encryption", "started"), whole.subList(0, 3));
@@ -78,7 +80,8 @@
 
     @Test
     void aServersStreamReadsTheSameInPiecesOfAnySize() throws Malformed {
-        byte[] stream = bytes(message('R', "\0\0\0\0"), message('S', "server_version\0" + "14\0"), message('Z', "I"),
+        byte[] stream = bytes(message('R', "\0\0\0\0"), message('S', "server_version\0" + "14\0"),
+                message('Z', "I"),
                 served("value"), message('E', "SERROR\0C25006\0Mno\0\0"), message('S', "mode\0read-only\0"),
                 message('Z', "I"), served("x0=12.5,x1=1"));
         List<String> whole = answers(stream, null);
@@ -94,7 +97,8 @@
         List<ServerAnswer> got = new ArrayList<>();
         ServerReader reader = new ServerReader(() -> { }, got::add);
         reader.feed(ByteBuffer.wrap(bytes(message('Z', "I"), served("v\0w"))));
-        assertArrayEquals(bytes(message('T', "\0\1one"), row("v\0w"), message('C', "SELECT 1\0"), message('Z', "I")),
+        assertArrayEquals(bytes(message('T', "\0\1one"), row("v\0w"), message('C', "SELECT 1\0"), message('Z',
+                "I")),
                 bytes(got.get(0).forClient()));
     }
 
@@ -103,7 +107,8 @@
         for (String text : List.of(READ, write("9f03"))) {
             Statement s = Statement.read(ByteBuffer.wrap(query(text)));
             for (long wait : new long[] {1, 480, 123_456}) {
-                assertEquals(new String(query(text.replace("d=480", "d=" + wait)), StandardCharsets.ISO_8859_1),
+                assertEquals(new String(query(text.replace("d=480", "d=" + wait)),
+                        StandardCharsets.ISO_8859_1),
                         text(s.withWait(wait)));
             }
         }
@@ -112,8 +117,10 @@
     @Test
     void theHeadIsReadInPlace() throws Malformed {
         Statement s = Statement.read(ByteBuffer.wrap(query(READ)));
-        assertEquals(List.of("9b1f", "basket", "acme", "7f3a"), List.of(s.id(), s.method(), s.tenant(), s.key()));
-        assertEquals(List.of(2L, 480L, 1767225600123L), List.of((long) s.group(), s.waitMillis(), s.afterMillis()));
+        assertEquals(List.of("9b1f", "basket", "acme", "7f3a"), List.of(s.id(), s.method(), s.tenant(),
+                s.key()));
+        assertEquals(List.of(2L, 480L, 1767225600123L), List.of((long) s.group(), s.waitMillis(),
+                s.afterMillis()));
         assertFalse(s.isWrite() || s.isRepeat());
         assertTrue(Statement.read(ByteBuffer.wrap(query(READ.replace("d=480", "r=1,d=480")))).isRepeat());
     }
@@ -124,7 +131,8 @@
         "d=480|d=soon|22023", "d=480|d=-1|22023", "d=480|d=99999999999|22023", "d=480|d=480,d=480|22023",
         "cluster=2|cluster=x|22023", ",cluster=2||22023", "after=1767225600123|after=new|22023",
         "'7f3a'|''|42601", "'7f3a'|'7f''3a'|42601", "'7f3a'|'7f\\3a'|42601", "name =|name|42601",
-        "SELECT|select|42601", "kv|kw|42601", "/*|--|42601", "*/|*/;|42601", "*/||42601", "*/|*/ /* x=1 */|42601",
+        "SELECT|select|42601", "kv|kw|42601", "/*|--|42601", "*/|*/;|42601", "*/||42601",
+        "*/|*/ /* x=1 */|42601",
         "t=acme|t=ac*/me|22023"})
     void aStatementThatIsNotOfTheFormIsTurnedAway(String part, String instead, String state) {
         String text = READ.replace(part, instead == null ? "" : instead);
@@ -146,7 +154,8 @@
             assertEquals(List.of("started", "broke 08P01"), hear(bytes(start(), bad, query(READ)), null));
         }
         for (char extended : "PBDECHSF".toCharArray()) {
-            assertEquals(List.of("started", "broke 0A000"), hear(bytes(start(), message(extended, "\0")), null));
+            assertEquals(List.of("started", "broke 0A000"), hear(bytes(start(), message(extended, "\0")),
+                    null));
         }
         assertEquals(List.of("broke 0A000"), hear(untyped(2 << 16), null));
         assertEquals(List.of("ended"), hear(untyped(80877102), null));
@@ -173,7 +182,8 @@
 
     private static List<String> answers(byte[] stream, SplittableRandom dice) throws Malformed {
         List<String> words = new ArrayList<>();
-        ServerReader reader = new ServerReader(() -> words.add("ready"), a -> words.add(a.isServed() + " " + a.state()
+        ServerReader reader = new ServerReader(() -> words.add("ready"), a -> words.add(a.isServed() + " "
+                + a.state()
                 + " " + a.rowText() + " " + a.primary() + " " + a.positionMillis()));
         for (ByteBuffer piece : pieces(stream, dice)) {
             reader.feed(piece);
@@ -186,7 +196,8 @@
         List<ByteBuffer> pieces = new ArrayList<>();
         for (int from = 0; from < stream.length; ) {
             int most = stream.length - from;
-            int size = dice == null ? most : Math.min(most, 1 + dice.nextInt(dice.nextBoolean() ? 9 : 40_000));
+            int size = dice == null ? most : Math.min(most, 1 + dice.nextInt(dice.nextBoolean() ? 9
+                    : 40_000));
             // Read buffers begin anywhere, so each piece lies inside a larger one.
             ByteBuffer piece = ByteBuffer.allocate(size + 3).position(3).put(stream, from, size).position(3);
             pieces.add(piece);
@@ -202,7 +213,8 @@
 
     private static byte[] served(String value) {
         return bytes(message('T', "\0\1one"), row(value), message('C', "SELECT 1\0"),
-                message('S', "mode\0read-write\0"), message('S', "wal_time\0" + "1767225600123\0"), message('Z', "I"));
+                message('S', "mode\0read-write\0"), message('S', "wal_time\0" + "1767225600123\0"),
+                message('Z', "I"));
     }
 
     private static byte[] row(String value) {
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -466,7 +466,8 @@
         rig.wait(Rig.DEADLINE.dividedBy(2));
         Rig.Entry entry = rig.rpcs.get(write);
         assertEquals("pushed back", entry.answer);
-        assertTrue(entry.answeredAt.minus(entry.arrived).compareTo(Rig.DEADLINE.dividedBy(3)) > 0, "too soon");
+        assertTrue(entry.answeredAt.minus(entry.arrived).compareTo(Rig.DEADLINE.dividedBy(3)) > 0,
+                "too soon");
         // What has been out has had its chance taken, and is not cut short.
         rig.server(0).told = Condition.ON;
         rig.server(0).start = rig.now.minus(ms(20_000));
