--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -25,8 +25,7 @@
  * @param known the server list as this gateway last had it
  */
 public record GatewayTerms(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets,
-        ServiceTerms service, List<String> methods, List<String> tenants, List<String> zones,
+        int sockets, ServiceTerms service, List<String> methods, List<String> tenants, List<String> zones,
         InetSocketAddress peerListen, InetSocketAddress peersAll, Duration idleClose, Duration connectTimeout,
         boolean reportsByProbe, NamedValues known) {
 
@@ -69,14 +68,13 @@
             tenants.add(settings.text("tenants." + k + ".name"));
         }
         boolean peers = service.tells() && told.has("peer_listen");
+        boolean reportsByProbe = settings.word("report.source", "none", "probe", "answers").equals("probe");
         return new GatewayTerms(told.text("name"), told.address("listen"), told.address("discovery"),
-                seed(told),
-                (int) told.whole("limits.sockets", 1024, 64), service, List.copyOf(methods),
-                List.copyOf(tenants),
-                settings.list("zones"), peers ? told.address("peer_listen") : null,
+                seed(told), (int) told.whole("limits.sockets", 1024, 64), service, List.copyOf(methods),
+                List.copyOf(tenants), settings.list("zones"), peers ? told.address("peer_listen") : null,
                 peers ? told.address("peers_all") : null,
                 settings.span("bounds.idleClose", Duration.ofSeconds(30)),
-                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe(settings),
+                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe,
                 told.under("known"));
     }
 
@@ -116,14 +114,6 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
-    private static boolean reportsByProbe(NamedValues settings) {
-        return switch (settings.text("report.source", "none")) {
-            case "probe" -> true;
-            case "answers", "none" -> false;
-            default -> throw settings.fault("report.source", "probe, answers or none");
-        };
-    }
-
     private static long seed(NamedValues told) {
         try {
             return Long.parseUnsignedLong(told.text("seed"), 16);
--- a/src/main/java/weldcross/terms/NamedValues.java
+++ b/src/main/java/weldcross/terms/NamedValues.java
@@ -127,6 +127,15 @@
         };
     }
 
+    /** One of the given words; the first where the key is absent. */
+    public String word(String key, String... allowed) {
+        String value = pairs.getOrDefault(prefix + key, allowed[0]);
+        if (!List.of(allowed).contains(value)) {
+            throw fault(key, String.join(" or ", allowed));
+        }
+        return value;
+    }
+
     public double real(String key, double absent, double least) {
         BigDecimal value = number(key);
         if (value != null && value.doubleValue() < least) {
--- a/src/main/java/weldcross/terms/TermsReader.java
+++ b/src/main/java/weldcross/terms/TermsReader.java
@@ -32,14 +32,16 @@
                     method.real("worth", 1, 0), method.real("lateWorth", 0, 0)));
         }
         boolean tellsWhen = told.flag("bounds.retryAfter", false);
+        boolean onRequest = told.word("discovery", "pushed", "on_request").equals("on_request");
+        boolean carried = told.word("familyInfo.tokenMode", "remembered", "carried").equals("carried");
         Duration comeBack = told.span("bounds.maxRetryAfter", Duration.ZERO);
         return new ServiceTerms(List.copyOf(rows), (int) told.whole("nInstances", 1, 1),
                 new ZoneId((int) told.whole("myZone", 0, 0)), told.flag("bounds.parallelTries", false),
                 (int) told.whole("bounds.tryLimit", 1, 1), told.flag("bounds.mayProbe", false),
                 told.flag("bounds.cancel", false), told.flag("bounds.mayTell", false),
-                tellsWhen ? comeBack : Duration.ZERO, onRequest(told),
+                tellsWhen ? comeBack : Duration.ZERO, onRequest,
                 told.span("invariants.mustAskIn", Duration.ofSeconds(10)),
-                !told.flag("invariants.removalNotBinding", false), carried(told),
+                !told.flag("invariants.removalNotBinding", false), carried,
                 told.real("invariants.coldFrom", 0, 0), told.span("invariants.cold", Duration.ZERO),
                 told.real("invariants.fallMultiple", 1, 0), told.span("invariants.fall", Duration.ZERO));
     }
@@ -86,20 +88,4 @@
             default -> throw method.fault("dedupScope", "all, zone or cell");
         };
     }
-
-    private static boolean onRequest(NamedValues told) {
-        return switch (told.text("discovery", "pushed")) {
-            case "on_request" -> true;
-            case "pushed" -> false;
-            default -> throw told.fault("discovery", "pushed or on_request");
-        };
-    }
-
-    private static boolean carried(NamedValues told) {
-        return switch (told.text("familyInfo.tokenMode", "remembered")) {
-            case "carried" -> true;
-            case "remembered" -> false;
-            default -> throw told.fault("familyInfo.tokenMode", "carried or remembered");
-        };
-    }
 }
