Four gaps found on reading: late connections, early refusals, no lists, closing discovery

- A dial given up in the moment it came up left a connection that nobody would end: ServerLinks.up and ListWatch.up ignored numbers they no longer knew; they now drop them.
- An error before the welcome counted as an error that may have run, so a filing turned away with 57P03 there would be aborted: ServerLinks.gone.
Nothing was sent, so it is no route (53300 stays no room).
- A JSON object without a list in it was taken for a whole list of no servers: ListWatch.take asks for its three keys.
- A discovery that closes after each answer cost a warning, a quarter second and the whole list each time: it is now dialled again at once and watched on from the revision held.
Each has a test.

--- a/src/main/java/weldcross/gateway/ListWatch.java
+++ b/src/main/java/weldcross/gateway/ListWatch.java
@@ -27,6 +27,7 @@
     private long revision = -1;
     private long asked;
     private boolean up;
+    private boolean answered;
     private boolean failing;
 
     ListWatch(Gateway gateway, Effects effects, GatewayTerms terms) {
@@ -38,8 +39,10 @@
     }
 
     void start() {
-        take(terms.known());
-        revision = -1;
+        if (terms.known().has("members.count")) {
+            take(terms.known());
+            revision = -1;
+        }
         dial();
     }
 
@@ -47,11 +50,16 @@
         if (number == link) {
             up = true;
             ask();
+        } else {
+            effects.drop(number);
         }
     }
 
     void gone(long number) {
-        if (number == link) {
+        if (number == link && answered) {
+            // It closes after an answer, as it may; what it told so far is held, so nothing is missed.
+            dial();
+        } else if (number == link) {
             fail("its connection ended");
         }
     }
@@ -70,6 +78,7 @@
             fail(e.getMessage());
             return;
         }
+        answered = true;
         if (failing) {
             failing = false;
             LOG.info("the list is watched again");
@@ -78,9 +87,13 @@
     }
 
     private void take(NamedValues told) {
+        // What lacks these is no list, and taken for an empty one it would end all service.
+        told.text("revision");
+        told.text("complete");
+        told.text("members.count");
         List<ListedMember> members = ListedMember.read(told, terms.zones());
         long next = told.whole("revision", -1, 0);
-        boolean whole = told.flag("complete", true);
+        boolean whole = told.flag("complete", false);
         if (next != revision && !(members.isEmpty() && !whole)) {
             LOG.info(() -> "list " + next + (whole ? " whole, " : " changed, ") + members.size()
                     + " entries");
@@ -91,6 +104,7 @@
 
     private void dial() {
         up = false;
+        answered = false;
         link = gateway.nextNumber();
         effects.dialDiscovery(link, terms.discovery());
         expectWithin(grace);
--- a/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -108,6 +108,9 @@
         Link link = links.get(number);
         if (link != null) {
             write(link, Replies.startup());
+        } else {
+            // Given up as it came up: nobody would ever end it.
+            effects.drop(number);
         }
     }
 
@@ -162,9 +165,11 @@
             return;
         }
         question.link = null;
-        if (rest != null && (rest.isServed() || rest.state() != null)) {
-            end(question, outcome(rest), rest);
+        Outcome told = rest != null && (rest.isServed() || rest.state() != null) ? outcome(rest) : null;
+        if (told != null && (link.up || told == Outcome.NO_ROOM)) {
+            end(question, told, rest);
         } else {
+            // Turned away before it was welcomed, for whatever reason, the question was never asked.
             end(question, link.up && link.unwritten == 0 ? Outcome.CUT : Outcome.NO_ROUTE, null);
         }
     }
--- a/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/src/test/java/weldcross/gateway/GatewayTest.java
@@ -476,11 +476,59 @@
         long third = w.discovery;
         w.tell(g -> g.list().up(third));
         w.tell(g -> g.list().answered(third, 503, nonsense));
+        w.wait(300);
+        long fourth = w.discovery;
+        w.tell(g -> g.list().up(fourth));
+        w.tell(g -> g.list().answered(fourth, 200, "{}".getBytes(StandardCharsets.UTF_8)));
+        assertTrue(w.wires.get(fourth).dropped, "an object without a list in it");
         String id = w.ask(w.connect(), true, 500);
         w.answer(on(w, id), null);
         assertEquals("ok", w.answers.get(id));
     }
 
+    @Test
+    void aDiscoveryThatClosesAfterEachAnswerIsWatchedOnFromWhereItWas() {
+        World w = World.serving();
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 41, true, "active");
+        long before = w.discovery;
+        w.tell(g -> g.list().gone(before));
+        assertFalse(before == w.discovery, "dialled again in the same moment");
+        w.tell(g -> g.list().up(w.discovery));
+        assertTrue(w.wires.get(w.discovery).take().contains("?since=41&"));
+    }
+
+    @Test
+    void aConnectionThatComesUpAfterItWasGivenUpIsEnded() {
+        World w = World.serving();
+        w.silent.add("s-0");
+        w.wires.values().stream().filter(x -> "s-0".equals(x.server)).forEach(x -> x.open = false);
+        List.copyOf(w.wires.keySet()).stream().filter(n -> n < 0 && "s-0".equals(w.wires.get(n).server))
+                .forEach(w::end);
+        long client = w.connect();
+        w.ask(client, true, 900);
+        long link = w.wires.keySet().stream().min(Long::compare).orElseThrow();
+        w.leave(client);
+        w.wires.get(link).dropped = false;
+        w.tell(g -> g.links().up(link));
+        assertTrue(w.wires.get(link).dropped);
+    }
+
+    @Test
+    void whatIsTurnedAwayBeforeItsWelcomeWasNeverAsked() {
+        World w = World.serving();
+        w.silent.add("s-0");
+        List.copyOf(w.wires.keySet()).stream().filter(n -> n < 0 && "s-0".equals(w.wires.get(n).server))
+                .forEach(w::end);
+        w.writes.add("a0");
+        String id = w.ask(w.connect(), true, 900);
+        long link = w.wires.keySet().stream().min(Long::compare).orElseThrow();
+        w.feed(w.wires.get(link), ByteBuffer.wrap(message('E', "SFATAL\0C57P03\0\0")));
+        w.end(link);
+        w.wait(900);
+        assertEquals("53300", w.answers.get(id), "it may not be said to have run");
+    }
+
     @Test
     void aServerThatMovedIsCalledAtItsNewAddress() {
         World w = World.serving();
