A stop is logged to its end, and its status is the program's own

Seen in a start from a clean checkout: after SIGTERM no line of draining, none of the counts. java.util.logging closes its handlers in a shutdown hook of its own, at the same time as the one that stopped the gateway. The signal itself now asks for the stop, and the process ends by returning. A start is posted before any stop can be, as a stop that came first would have been followed by a start. Test: a process of its own, ended by SIGTERM.

--- a/src/main/java/weldcross/gateway/Service.java
+++ b/src/main/java/weldcross/gateway/Service.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import sun.misc.Signal;
 import weldcross.terms.GatewayTerms;
 
 /** One gateway as a process: its clock, its thread, and the signal that ends it. */
@@ -28,24 +29,20 @@
         loop = new Loop(clock);
         effects = new MinaEffects(loop, clock);
         gateway = new Gateway(terms, effects, Duration.ofSeconds(wall.getEpochSecond(), wall.getNano()));
+        loop.post(Gateway::start);
     }
 
-    /** Serves until the process is asked to end; does not return. */
+    /** Serves until the process is asked to end; returns the status to exit with. */
     public static int run(GatewayTerms terms) {
         Service service = new Service(terms);
-        CompletableFuture<Integer> status = new CompletableFuture<>();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            service.stop();
-            // The signal would have the status of a process that was ended; this one ends as asked.
-            Runtime.getRuntime().halt(status.join());
-        }));
-        status.complete(service.serve());
-        return status.join();
+        // Not a shutdown hook: by then the log is closed already, and the status is that of a killed process.
+        Signal.handle(new Signal("TERM"), signal -> service.stop());
+        Signal.handle(new Signal("INT"), signal -> service.stop());
+        return service.serve();
     }
 
     /** Returns with the status to exit with: when it has stopped, or when it broke. */
     int serve() {
-        loop.post(Gateway::start);
         try {
             loop.run(gateway);
             return 0;
--- a/src/test/java/weldcross/gateway/ServiceTest.java
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -19,13 +20,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import weldcross.pgwire.Replies;
 import weldcross.terms.GatewayTerms;
 import weldcross.terms.NamedValues;
@@ -203,6 +205,32 @@
         }
     }
 
+    /** A process of its own, ended by SIGTERM: the log is whole and the status that of an end as asked. */
+    @Test
+    void aProcessThatIsAskedToEndSaysSoAndExitsWithZero(@TempDir Path folder) throws Exception {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(Path.of("deploy/example.json")).replace("127.0.0.1:6543",
+                "127.0.0.1:0").replace("127.0.0.1:8500", "127.0.0.1:1"));
+        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(),
+                "-cp", System.getProperty("java.class.path"), "weldcross.Main", "serve");
+        start.environment().put("NODE_CONFIG", config.toString());
+        Process process = start.redirectErrorStream(true).start();
+        try (BufferedReader log = process.inputReader()) {
+            String line = log.readLine();
+            while (line != null && !line.contains("STARTING to LISTENING")) {
+                line = log.readLine();
+            }
+            process.toHandle().destroy();
+            List<String> rest = log.lines().toList();
+            assertTrue(rest.stream().anyMatch(l -> l.contains("to DRAINING")), rest.toString());
+            assertTrue(rest.stream().anyMatch(l -> l.contains("stopped: 0 taken")), rest.toString());
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void anAddressInUseEndsTheStart() throws Exception {
         Primary primary = new Primary();
