--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -57,7 +57,7 @@
         final long number;
         final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
         Rpc rpc;
-        boolean started, writing, ending, unread;
+        boolean writing, ending, unread;
         Duration idleSince;
 
         Client(long number, Duration now) {
@@ -113,6 +113,7 @@
         void ended(Outcome outcome, ServerAnswer answer) {
             rpc.out--;
             if (outcome == Outcome.OK && !rpc.answered) {
+                served++;
                 answer(rpc, answer.forClient());
             }
             long millis = answer == null ? 0 : answer.positionMillis();
@@ -343,10 +344,7 @@
     }
 
     void clientStarted(long number) {
-        inTurn(number, client -> {
-            client.started = true;
-            write(client, Replies.welcome());
-        });
+        inTurn(number, client -> write(client, Replies.welcome()));
     }
 
     /** Answered as ready only once RPCs can be routed. */
@@ -448,20 +446,17 @@
     }
 
     private void take(Client client, Statement statement, RpcId id, int method, GroupId group,
-            Duration patience)
-            throws Malformed {
+            Duration patience) throws Malformed {
         Rpc rpc = new Rpc(id, client, statement, now.plus(patience));
         taken++;
         client.rpc = rpc;
         rpcs.put(id, rpc);
         Need need = terms.service().methods().get(method).need();
-        SessionId session = need == Need.WRITE || need == Need.SESSION ? new SessionId(statement.key())
-                : null;
+        boolean inSession = need == Need.WRITE || need == Need.SESSION;
         long after = statement.afterMillis();
         Duration sinceWrite = after == 0 ? Duration.ZERO : now.minus(since(after));
-        router.rpcArrived(now, id, method, group, session, sinceWrite.isNegative() ? Duration.ZERO
-                : sinceWrite,
-                patience, statement.isRepeat());
+        router.rpcArrived(now, id, method, group, inSession ? new SessionId(statement.key()) : null,
+                sinceWrite.isNegative() ? Duration.ZERO : sinceWrite, patience, statement.isRepeat());
     }
 
     private void answer(Rpc rpc, ByteBuffer... parts) {
--- a/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/src/test/java/weldcross/gateway/GatewayTest.java
@@ -753,11 +753,14 @@
         assertFalse(w.listening);
         assertTrue(w.told.contains("finish " + idle));
         assertEquals(Gateway.Phase.DRAINING, w.gateway.phase());
-        for (String id : List.of(taken, late)) {
-            w.answer(on(w, id), null);
-            assertEquals("ok", w.answers.get(id));
-        }
+        List<String> lines = logged(() -> {
+            for (String id : List.of(taken, late)) {
+                w.answer(on(w, id), null);
+                assertEquals("ok", w.answers.get(id));
+            }
+        });
         assertEquals(Gateway.Phase.STOPPED, w.gateway.phase());
+        assertTrue(lines.get(0).startsWith("stopped: 2 taken, 2 ok, 0 pushed back"), lines.toString());
     }
 
     @Test
@@ -772,6 +775,20 @@
 
     @Test
     void whatMayHappenToEveryRpcIsLoggedOnceASecond() {
+        World w = World.serving();
+        long client = w.connect();
+        List<String> lines = logged(() -> {
+            for (int k = 0; k < 30; k++) {
+                w.say(client, Replies.query("SELECT 1"));
+                w.wait(100);
+            }
+        });
+        List<String> turned = lines.stream().filter(l -> l.contains("turned away")).toList();
+        assertEquals(3, turned.size(), lines.toString());
+        assertTrue(turned.get(1).endsWith("(and 9 more of this kind since the last)"), turned.get(1));
+    }
+
+    private static List<String> logged(Runnable life) {
         List<String> lines = new ArrayList<>();
         Handler handler = new StreamHandler() {
             @Override
@@ -782,19 +799,11 @@
         Logger log = Logger.getLogger(Gateway.class.getName());
         log.addHandler(handler);
         try {
-            World w = World.serving();
-            long client = w.connect();
-            lines.clear();
-            for (int k = 0; k < 30; k++) {
-                w.say(client, Replies.query("SELECT 1"));
-                w.wait(100);
-            }
+            life.run();
         } finally {
             log.removeHandler(handler);
         }
-        List<String> turned = lines.stream().filter(l -> l.contains("turned away")).toList();
-        assertEquals(3, turned.size(), lines.toString());
-        assertTrue(turned.get(1).endsWith("(and 9 more of this kind since the last)"), turned.get(1));
+        return lines;
     }
 
     private static long on(World w, String id) {
