--- a/src/main/java/weldcross/cli/Commands.java
+++ b/src/main/java/weldcross/cli/Commands.java
@@ -17,15 +17,13 @@
 /** The command line: one sub-command a shape that the program can take. */
 @Command(name = "weldcross", description = "Routes reads and writes in a replicated store.",
         mixinStandardHelpOptions = true, versionProvider = Commands.FromBuild.class,
-                synopsisSubcommandLabel = "COMMAND",
+        synopsisSubcommandLabel = "COMMAND",
         subcommands = {Commands.Serve.class, Commands.Check.class, Commands.Rehearse.class,
-        Commands.WireHost.class,
-            Commands.Version.class})
+            Commands.WireHost.class, Commands.Version.class})
 public final class Commands implements Runnable {
 
-    /** Ended as asked; what was told at the start cannot be used; the command line cannot. */
+    /** Ended as asked; the command line cannot be used. */
     static final int OK = 0;
-    static final int FAULTY = 1;
     static final int USAGE = 2;
 
     @CommandLine.Spec
@@ -35,8 +33,7 @@
     public static int run(String... args) {
         return new CommandLine(new Commands()).setExecutionExceptionHandler((fault, line, parsed) -> {
             if (fault instanceof FaultyTerm || fault instanceof WireLoop.Malformed) {
-                line.getErr().println("weldcross: " + fault.getMessage());
-                return FAULTY;
+                return Serving.faulty(fault);
             }
             throw fault;
         }).setParameterExceptionHandler((fault, rest) -> {
--- a/src/main/java/weldcross/cli/Serving.java
+++ b/src/main/java/weldcross/cli/Serving.java
@@ -2,17 +2,30 @@
 
 import java.util.logging.Level;
 import weldcross.gateway.Service;
+import weldcross.terms.FaultyTerm;
 import weldcross.terms.GatewayTerms;
 
 /** What {@code serve} does, apart from how its command line is read. */
 public final class Serving {
 
+    /** The status where what was told at the start cannot be used. */
+    static final int FAULTY = 1;
+
     private Serving() {
     }
 
     /** Returns with the status to exit with. */
     public static int run(Level level) {
         LogLines.start(level);
-        return Service.run(GatewayTerms.read(System.getenv()));
+        try {
+            return Service.run(GatewayTerms.read(System.getenv()));
+        } catch (FaultyTerm e) {
+            return faulty(e);
+        }
+    }
+
+    static int faulty(Exception fault) {
+        System.err.println("weldcross: " + fault.getMessage());
+        return FAULTY;
     }
 }
--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -85,11 +85,9 @@
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
         NamedValues list = NamedValues.ofPairs(("revision=0 complete=true members.count=1 "
-                + "members.0.id=s-0 members.0.cell=0 "
-                + "members.0.host_port=127.0.0.1:1 members.0.phase=active").split(" "), 0);
+                + "members.0.id=s-0 members.0.cell=0 members.0.host_port=127.0.0.1:1 members.0.phase=active").split(" "), 0);
         return new GatewayTerms(name, free, nobody, seed, sockets, service, methods, tenants, zones, null,
-                null,
-                idleClose, connectTimeout, reportsByProbe, list);
+                null, idleClose, connectTimeout, reportsByProbe, list);
     }
 
     /** What would be served, for a person to read. */
@@ -100,16 +98,18 @@
                 .append(service.gateways()).append(" gateways");
         for (int k = 0; k < methods.size(); k++) {
             MethodRow row = service.methods().get(k);
-            words.append("\n  ").append(methods.get(k)).append(": ").append(row.need().name()
-                    .toLowerCase(Locale.ROOT))
+            words.append("\n  ").append(methods.get(k)).append(": ").append(plain(row.need()))
                     .append(row.bound().isZero() ? "" : " " + row.bound().toMillis() + " ms").append(", ")
-                    .append(row.effect().name().toLowerCase(Locale.ROOT).replace('_', '-'))
-                    .append(", soft deadline ")
+                    .append(plain(row.effect())).append(", soft deadline ")
                     .append(row.softDeadline().toMillis()).append(" ms, utility ").append(row.utility());
         }
         return words.toString();
     }
 
+    private static String plain(Enum<?> word) {
+        return word.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
     private static String plain(InetSocketAddress address) {
         return address.getHostString() + ":" + address.getPort();
     }
--- a/src/test/java/weldcross/cli/CommandsTest.java
+++ b/src/test/java/weldcross/cli/CommandsTest.java
@@ -54,14 +54,14 @@
         Path file = folder.resolve("c.json");
         Files.writeString(file, Files.readString(Path.of("deploy/example.json")).replace("\"tryLimit\": 10",
                 "\"tryLimit\": 0"));
-        assertEquals(Commands.FAULTY, Commands.run("check", file.toString()));
+        assertEquals(Serving.FAULTY, Commands.run("check", file.toString()));
         assertEquals("weldcross: settings.bounds.tryLimit: found '0', allowed is a number from 1 on\n",
                 complained.toString(StandardCharsets.UTF_8));
     }
 
     @Test
     void serveWithoutAConfigurationEndsBeforeItListens() {
-        assertEquals(Commands.FAULTY, Commands.run("serve"));
+        assertEquals(Serving.FAULTY, Commands.run("serve"));
         assertTrue(complained.toString(StandardCharsets.UTF_8).contains("NODE_CONFIG: found nothing"));
     }
 
@@ -76,7 +76,7 @@
         assertEquals(Commands.OK, Commands.run("wirehost"));
         assertEquals("YIELD\n", said.toString(StandardCharsets.UTF_8));
         System.setIn(new ByteArrayInputStream("HELLO\n".getBytes(StandardCharsets.UTF_8)));
-        assertEquals(Commands.FAULTY, Commands.run("wirehost"));
+        assertEquals(Serving.FAULTY, Commands.run("wirehost"));
     }
 
     @Test
