--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -84,10 +84,11 @@
     public GatewayTerms alone() {
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-        NamedValues list = NamedValues.ofPairs(("revision=0 complete=true members.count=1 "
-                + "members.0.id=s-0 members.0.cell=0 members.0.host_port=127.0.0.1:1 members.0.phase=active").split(" "), 0);
+        String list = "revision=0 complete=true members.count=1 members.0.id=s-0 members.0.cell=0 "
+                + "members.0.host_port=127.0.0.1:1 members.0.phase=active";
         return new GatewayTerms(name, free, nobody, seed, sockets, service, methods, tenants, zones, null,
-                null, idleClose, connectTimeout, reportsByProbe, list);
+                null, idleClose, connectTimeout, reportsByProbe,
+                NamedValues.ofPairs(list.split(" "), 0));
     }
 
     /** What would be served, for a person to read. */
