Read once more: one way out of rest, numbers parsed once, one way to give up

- ServerLinks: an idle connection stood in two collections, each taken out by hand in four places; rouse does it.
- Statement: group, wait and age were parsed at the check and again at each use, and Gateway.begin caught a fault that could not come; they are kept as numbers.
- Gateway: push-back and abort shared all but their words; the RPC is forgotten at once, as nothing needed it after. listFailed had the router ask for a watch that watchList does not begin: gone, the watch begins again by itself.
- MinaEffects: a port in use left whoever waited for the address waiting, so a rehearsal would have hung (tested).

--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -13,7 +13,6 @@
 import java.util.logging.Logger;
 import weldcross.discovery.ListedMember;
 import weldcross.peers.PeerWord;
-import weldcross.pgwire.Malformed;
 import weldcross.pgwire.Replies;
 import weldcross.pgwire.ServerAnswer;
 import weldcross.pgwire.Statement;
@@ -135,14 +134,14 @@
 
         @Override
         ByteBuffer[] message() {
-            return new ByteBuffer[] {Replies.query(reportsByProbe ? "SHOW stats" : "SELECT 1")};
+            return new ByteBuffer[] {Replies.query(terms.reportsByProbe() ? "SHOW stats" : "SELECT 1")};
         }
 
         @Override
         void ended(Outcome outcome, ServerAnswer answer) {
             router.probeEnded(now, server, outcome == Outcome.OK);
             if (outcome == Outcome.OK) {
-                report(server, reportsByProbe ? answer.rowText() : answer.stats());
+                report(server, terms.reportsByProbe() ? answer.rowText() : answer.stats());
             }
         }
     }
@@ -160,7 +159,6 @@
     private final Map<GroupId, ServerId> primaries = new LinkedHashMap<>();
     private final RareLog complaints = new RareLog(LOG);
     private final RareLog claims = new RareLog(LOG);
-    private final boolean reportsByProbe;
     private final int mostClients;
     private Router router;
     private Phase phase = Phase.STARTING;
@@ -177,7 +175,6 @@
         this.terms = terms;
         this.effects = effects;
         this.unixAtStart = unixAtStart;
-        this.reportsByProbe = terms.reportsByProbe();
         // An eighth of the descriptors is the process's own; clients and servers cannot starve each other.
         this.mostClients = terms.sockets() / 2;
         this.links = new ServerLinks(this, effects, terms.connectTimeout(), terms.idleClose(),
@@ -417,36 +414,33 @@
     }
 
     private void begin(Client client, Statement statement, Duration arrived) {
-        String fault = null;
         int method = terms.methods().indexOf(statement.method());
         RpcId id = new RpcId(statement.id());
-        try {
-            Duration patience = arrived.plusMillis(statement.waitMillis()).minus(now);
-            GroupId group = new GroupId(statement.group());
-            if (method < 0) {
-                fault = "unknown method";
-            } else if (statement.isWrite() != (terms.service().methods().get(method).need() == Need.WRITE)) {
-                fault = "method and statement do not agree";
-            } else if (statement.tenant() != null && !terms.tenants().isEmpty()
-                    && !terms.tenants().contains(statement.tenant())) {
-                fault = "unknown tenant";
-            } else if (!groups.containsValue(group)) {
-                fault = "unknown cluster";
-            } else if (rpcs.containsKey(id)) {
-                fault = "id is in use";
-            } else {
-                take(client, statement, id, method, group, patience.isNegative() ? Duration.ZERO : patience);
-                return;
-            }
-        } catch (Malformed e) {
-            fault = e.getMessage();
+        GroupId group = new GroupId(statement.group());
+        String fault = null;
+        if (method < 0) {
+            fault = "unknown method";
+        } else if (statement.isWrite() != (terms.service().methods().get(method).need() == Need.WRITE)) {
+            fault = "method and statement do not agree";
+        } else if (statement.tenant() != null && !terms.tenants().isEmpty()
+                && !terms.tenants().contains(statement.tenant())) {
+            fault = "unknown tenant";
+        } else if (!groups.containsValue(group)) {
+            fault = "unknown cluster";
+        } else if (rpcs.containsKey(id)) {
+            fault = "id is in use";
+        }
+        if (fault != null) {
+            complain("a client's statement is turned away: " + fault);
+            write(client, Replies.error("22023", fault, null));
+            return;
         }
-        complain("a client's statement is turned away: " + fault);
-        write(client, Replies.error("22023", fault, null));
+        Duration patience = arrived.plusMillis(statement.waitMillis()).minus(now);
+        take(client, statement, id, method, group, patience.isNegative() ? Duration.ZERO : patience);
     }
 
     private void take(Client client, Statement statement, RpcId id, int method, GroupId group,
-            Duration patience) throws Malformed {
+            Duration patience) {
         Rpc rpc = new Rpc(id, client, statement, now.plus(patience));
         taken++;
         client.rpc = rpc;
@@ -536,12 +530,6 @@
         }
     }
 
-    void listFailed() {
-        if (terms.service().listOnRequest()) {
-            router.listFailed(now);
-        }
-    }
-
     void peerTold(ServerId server) {
         router.peerTold(now, server);
     }
@@ -578,25 +566,30 @@
 
     @Override
     public void pushBack(RpcId id, Duration comeBackAfter) {
-        Rpc rpc = rpcs.get(id);
-        if (rpc != null && !rpc.answered) {
+        long millis = comeBackAfter.toMillis();
+        if (giveUp(id, Replies.error("53300", "not now", millis > 0 ? Long.toString(millis) : null))) {
             pushedBack++;
-            long millis = comeBackAfter.toMillis();
-            answer(rpc, Replies.error("53300", "not now", millis > 0 ? Long.toString(millis) : null));
-            soon(() -> forget(rpc));
         }
     }
 
     @Override
     public void abort(RpcId id) {
-        Rpc rpc = rpcs.get(id);
-        if (rpc != null && !rpc.answered) {
+        if (giveUp(id, Replies.error("58000", "failed, and may have run", null))) {
             aborted++;
-            answer(rpc, Replies.error("58000", "failed, and may have run", null));
-            soon(() -> forget(rpc));
         }
     }
 
+    /** False where the RPC has had its answer. */
+    private boolean giveUp(RpcId id, ByteBuffer words) {
+        Rpc rpc = rpcs.get(id);
+        if (rpc == null || rpc.answered) {
+            return false;
+        }
+        answer(rpc, words);
+        forget(rpc);
+        return true;
+    }
+
     @Override
     public void probe(ServerId server) {
         Probe probe = new Probe(server);
@@ -612,7 +605,7 @@
         }
     }
 
-    /** The list is watched from the start, at no cost to anybody: there is nothing left to ask for. */
+    /** The list is watched from the start and again after each failure: there is nothing left to ask for. */
     @Override
     public void watchList() {
     }
--- a/src/main/java/weldcross/gateway/ListWatch.java
+++ b/src/main/java/weldcross/gateway/ListWatch.java
@@ -139,7 +139,6 @@
         effects.drop(link);
         link = 0;
         revision = -1;
-        gateway.listFailed();
         gateway.at(gateway.now().plus(terms.connectTimeout()), this::dial);
     }
 }
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -110,7 +110,8 @@
             acceptor.bind(at);
             listening.complete(acceptor.getLocalAddress());
         } catch (IOException e) {
-            throw new IllegalStateException("cannot listen on " + at + ": " + e.getMessage(), e);
+            listening.completeExceptionally(e);
+            throw cannotListen(at, e);
         }
     }
 
@@ -144,10 +145,14 @@
         try {
             peers.bind(at);
         } catch (IOException e) {
-            throw new IllegalStateException("cannot listen on " + at + ": " + e.getMessage(), e);
+            throw cannotListen(at, e);
         }
     }
 
+    private static IllegalStateException cannotListen(InetSocketAddress at, IOException why) {
+        return new IllegalStateException("cannot listen on " + at + ": " + why.getMessage(), why);
+    }
+
     @Override
     public void tellPeers(InetSocketAddress to, byte[] message) {
         peers.newSession(to, peersFrom).write(IoBuffer.wrap(message));
--- a/src/main/java/weldcross/gateway/Rehearsal.java
+++ b/src/main/java/weldcross/gateway/Rehearsal.java
@@ -32,8 +32,7 @@
                 String comment = " /* id=" + method + ",c=" + method + ",d=100,cluster=0 */";
                 ask(client, in, Replies.query("SELECT content FROM kv WHERE name = 'k'" + comment));
                 ask(client, in, Replies.query("INSERT INTO kv (name, content) VALUES ('k', '\\x00') "
-                        + "RETURNING content"
-                        + comment));
+                        + "RETURNING content" + comment));
             }
         }
         service.stop();
--- a/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import weldcross.pgwire.Replies;
 import weldcross.pgwire.ServerAnswer;
@@ -19,13 +20,12 @@
     static final class Link {
         final long number;
         final ServerId server;
+        final InetSocketAddress address;
         Question question;
         boolean up;
         int unwritten;
         Duration idleSince;
 
-        final InetSocketAddress address;
-
         Link(long number, ServerId server, InetSocketAddress address) {
             this.number = number;
             this.server = server;
@@ -57,26 +57,20 @@
     void listed(ServerId server, InetSocketAddress address) {
         InetSocketAddress before = addresses.put(server, address);
         if (before != null && !before.equals(address)) {
-            ArrayDeque<Link> old = idle.remove(server);
-            if (old != null) {
-                old.forEach(this::remove);
-            }
+            List.copyOf(idleAt(server)).forEach(this::remove);
         }
     }
 
     void ask(ServerId server, Question question) {
-        ArrayDeque<Link> ready = idle.get(server);
-        Link link = ready == null ? null : ready.pollFirst();
+        Link link = idleAt(server).peekFirst();
         if (link != null) {
-            resting.remove(link);
+            rouse(link);
             carry(link, question);
             write(link, question.message());
             return;
         }
         if (links.size() >= most && !resting.isEmpty()) {
-            Link longest = resting.iterator().next();
-            idle.get(longest.server).remove(longest);
-            remove(longest);
+            remove(resting.iterator().next());
         }
         InetSocketAddress address = addresses.get(server);
         if (links.size() >= most || address == null) {
@@ -152,11 +146,7 @@
         if (link == null) {
             return;
         }
-        resting.remove(link);
-        ArrayDeque<Link> ready = idle.get(link.server);
-        if (ready != null) {
-            ready.remove(link);
-        }
+        rouse(link);
         if (!link.up) {
             gateway.complain("no connection to " + link.server.name() + " at " + link.address);
         }
@@ -209,7 +199,7 @@
         }
         boolean first = link.idleSince == null;
         link.idleSince = gateway.now();
-        idle.computeIfAbsent(link.server, s -> new ArrayDeque<>()).addFirst(link);
+        idleAt(link.server).addFirst(link);
         resting.add(link);
         if (first) {
             gateway.at(link.idleSince.plus(idleFor), () -> tire(link));
@@ -227,14 +217,24 @@
         } else if (until.compareTo(gateway.now()) > 0) {
             gateway.at(until, () -> tire(link));
         } else {
-            idle.get(link.server).remove(link);
             remove(link);
         }
     }
 
+    /** From its rest, if it is at rest: to work, or to its end. */
+    private void rouse(Link link) {
+        if (resting.remove(link)) {
+            idleAt(link.server).remove(link);
+        }
+    }
+
+    private ArrayDeque<Link> idleAt(ServerId server) {
+        return idle.computeIfAbsent(server, s -> new ArrayDeque<>());
+    }
+
     private void remove(Link link) {
         links.remove(link.number);
-        resting.remove(link);
+        rouse(link);
         if (link.question != null) {
             link.question.link = null;
             link.question = null;
--- a/src/main/java/weldcross/pgwire/Replies.java
+++ b/src/main/java/weldcross/pgwire/Replies.java
@@ -46,8 +46,7 @@
     public static ByteBuffer startup() {
         byte[] body = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.US_ASCII);
         return ByteBuffer.allocate(8 + body.length).putInt(8 + body.length).putInt(FrameReader.VERSION_3)
-                .put(body)
-                .flip();
+                .put(body).flip();
     }
 
     public static ByteBuffer query(String text) {
--- a/src/main/java/weldcross/pgwire/Statement.java
+++ b/src/main/java/weldcross/pgwire/Statement.java
@@ -25,10 +25,10 @@
     private String id;
     private String method;
     private String tenant;
-    private String group;
-    private String wait;
-    private String after;
     private String repeat;
+    private int group;
+    private long waitMillis;
+    private long afterMillis;
 
     private Statement(ByteBuffer whole, int at) {
         this.whole = whole;
@@ -84,18 +84,18 @@
         return tenant;
     }
 
-    public int group() throws Malformed {
-        return (int) number("cluster", group, Integer.MAX_VALUE);
+    public int group() {
+        return group;
     }
 
     /** Milliseconds from the client's send for which it waits. */
-    public long waitMillis() throws Malformed {
-        return number("d", wait, Integer.MAX_VALUE);
+    public long waitMillis() {
+        return waitMillis;
     }
 
     /** Unix time in milliseconds of the session's last commit; 0 where the client names none. */
-    public long afterMillis() throws Malformed {
-        return after == null || after.isEmpty() ? 0 : number("after", after, Long.MAX_VALUE);
+    public long afterMillis() {
+        return afterMillis;
     }
 
     public boolean isRepeat() {
@@ -112,6 +112,9 @@
     }
 
     private void comment() throws Malformed {
+        String cluster = null;
+        String wait = null;
+        String after = null;
         while (true) {
             String name = upTo('=');
             int from = at;
@@ -123,7 +126,7 @@
                 case "id" -> id = once(name, id, value);
                 case "c" -> method = once(name, method, value);
                 case "t" -> tenant = once(name, tenant, value);
-                case "cluster" -> group = once(name, group, value);
+                case "cluster" -> cluster = once(name, cluster, value);
                 case "after" -> after = once(name, after, value);
                 case "r" -> repeat = once(name, repeat, value);
                 case "d" -> {
@@ -143,9 +146,9 @@
         if (id == null || id.isEmpty() || method == null) {
             throw new Malformed("22023", "the comment must name id and c");
         }
-        group();
-        waitMillis();
-        afterMillis();
+        group = (int) number("cluster", cluster, Integer.MAX_VALUE);
+        waitMillis = number("d", wait, Integer.MAX_VALUE);
+        afterMillis = after == null || after.isEmpty() ? 0 : number("after", after, Long.MAX_VALUE);
     }
 
     private static String once(String name, String before, String value) throws Malformed {
--- a/src/main/java/weldcross/terms/TermsReader.java
+++ b/src/main/java/weldcross/terms/TermsReader.java
@@ -26,8 +26,7 @@
             NamedValues method = told.under("categories." + k);
             rows.add(new MethodRow(k < needs.size() ? need(told, needs.get(k)) : Need.ANY,
                     k < bounds.size() ? bound(told, bounds.get(k)) : Duration.ZERO, effect(method),
-                    scope(method),
-                    method.span("dedupWindow", Duration.ZERO),
+                    scope(method), method.span("dedupWindow", Duration.ZERO),
                     method.span("target", method.span("deadline", Duration.ZERO)),
                     method.real("worth", 1, 0), method.real("lateWorth", 0, 0)));
         }
--- a/src/test/java/weldcross/gateway/ServiceTest.java
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -179,9 +179,7 @@
 
     @Test
     void servesOverLoopbackStopsAndStartsAgain() throws Exception {
-        Primary primary = new Primary();
-        Discovery discovery = new Discovery(primary);
-        standIns.addAll(List.of(primary, discovery));
+        Discovery discovery = discovery(new Primary());
         for (int life = 0; life < 2; life++) {
             Service service = new Service(terms(discovery));
             CompletableFuture<Integer> status = CompletableFuture.supplyAsync(service::serve);
@@ -211,9 +209,9 @@
         Path config = folder.resolve("config.json");
         Files.writeString(config, Files.readString(Path.of("deploy/example.json")).replace("127.0.0.1:6543",
                 "127.0.0.1:0").replace("127.0.0.1:8500", "127.0.0.1:1"));
-        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(),
-                "-cp", System.getProperty("java.class.path"), "weldcross.Main", "serve");
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder start = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
+                "weldcross.Main", "serve");
         start.environment().put("NODE_CONFIG", config.toString());
         Process process = start.redirectErrorStream(true).start();
         try (BufferedReader log = process.inputReader()) {
@@ -234,11 +232,18 @@
     @Test
     void anAddressInUseEndsTheStart() throws Exception {
         Primary primary = new Primary();
-        Discovery discovery = new Discovery(primary);
-        standIns.addAll(List.of(primary, discovery));
+        Discovery discovery = discovery(primary);
         GatewayTerms taken = GatewayTerms.of(NamedValues.ofJson(text(discovery).replace("127.0.0.1:0",
                 "127.0.0.1:" + primary.socket.getLocalPort()).getBytes(StandardCharsets.UTF_8)));
-        assertFalse(new Service(taken).serve() == 0);
+        Service service = new Service(taken);
+        assertFalse(service.serve() == 0);
+        assertTrue(service.listening().isCompletedExceptionally(), "nobody may wait for it in vain");
+    }
+
+    private Discovery discovery(Primary primary) throws IOException {
+        Discovery discovery = new Discovery(primary);
+        standIns.addAll(List.of(primary, discovery));
+        return discovery;
     }
 
     private List<String> write(Client client, String hex) throws IOException {
