A server is silent only once all that it may have said has been read

Seen: half of all RPCs refused from the start, fewer after 15 s. Log: 27 connections not made at the start, to all nine servers. A probe in the log of each dial given up: all nine dials ended after 397 ms with no connection, though a time of 250 ms is told; 87 to 200 events waited for the gateway's thread, which was up to 52 ms behind its due times; the process had used all of its half core. So the gateway took its own slowness for the silence of all servers, and counted all of them as cold for the warming time. Blamed: ServerLinks.ask timed a dial from the call to the welcome, Gateway.probe from the call to the answer, Loop made one change and then all that was due.

Now each step on a connection has the time told by itself, from when our own words are out; before it is given up all that has come in is read (a round of MINA's thread); what has come goes before what is due.

--- a/src/main/java/weldcross/gateway/Effects.java
+++ b/src/main/java/weldcross/gateway/Effects.java
@@ -26,6 +26,9 @@
     /** Reads on, or lets what comes wait in the network. */
     void read(long connection, boolean on);
 
+    /** Tells, by an event, once all that has come in by now on any connection has been read and told. */
+    void hear(long connection);
+
     /** Ends a connection before anything that is asked for later. */
     void drop(long connection);
 
--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -111,6 +111,11 @@
             return rpc.statement.withWait(Math.max(1, until.minus(now).toMillis()));
         }
 
+        @Override
+        boolean isBrief() {
+            return false;
+        }
+
         @Override
         String tag() {
             return rpc.statement.tag();
@@ -146,6 +151,11 @@
             return new ByteBuffer[] {Replies.query(terms.reportsByProbe() ? "SHOW stats" : "SELECT 1")};
         }
 
+        @Override
+        boolean isBrief() {
+            return true;
+        }
+
         @Override
         String tag() {
             return null;
@@ -585,7 +595,11 @@
             return;
         }
         links.ask(server, callOut);
-        giveUpAt(callOut.until, callOut, Outcome.TIMED_OUT);
+        at(callOut.until, () -> {
+            if (!callOut.over) {
+                links.drop(callOut, Outcome.TIMED_OUT);
+            }
+        });
     }
 
     @Override
@@ -596,14 +610,6 @@
         }
     }
 
-    private void giveUpAt(Duration when, Question question, Outcome outcome) {
-        at(when, () -> {
-            if (!question.over) {
-                links.drop(question, outcome);
-            }
-        });
-    }
-
     @Override
     public void pushBack(RpcId id, Duration comeBackAfter) {
         long millis = comeBackAfter.toMillis();
@@ -632,9 +638,7 @@
 
     @Override
     public void probe(ServerId server) {
-        Probe probe = new Probe(server);
-        links.ask(server, probe);
-        giveUpAt(now.plus(terms.connectTimeout()), probe, Outcome.TIMED_OUT);
+        links.ask(server, new Probe(server));
     }
 
     @Override
--- a/src/main/java/weldcross/gateway/GatheringProcessor.java
+++ b/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
@@ -10,17 +14,40 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA writes one buffer at a time; this is the least that makes it gather. The channel behind a session is
+ * MINA writes one buffer at a time; this is the least that makes it gather, and tell how far it has read. The channel behind a session is
  * not to be had from it, but the selector's key knows both.
  */
 final class GatheringProcessor extends NioProcessor {
 
     private static final String CHANNEL = "channel";
 
+    private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
+    /** Those that waited before the round of reading that is under way. */
+    private final List<Runnable> round = new ArrayList<>();
+
     GatheringProcessor(Executor executor) {
         super(executor);
     }
 
+    /** Runs this, on its own thread, once all that has come in by now has been read. */
+    void afterReading(Runnable then) {
+        waiting.add(then);
+        wakeup();
+    }
+
+    @Override
+    protected int select(long timeout) throws Exception {
+        round.forEach(Runnable::run);
+        round.clear();
+        for (Runnable next = waiting.poll(); next != null; next = waiting.poll()) {
+            round.add(next);
+        }
+        if (!round.isEmpty()) {
+            wakeup();
+        }
+        return super.select(timeout);
+    }
+
     @Override
     protected void init(NioSession session) throws Exception {
         super.init(session);
--- a/src/main/java/weldcross/gateway/Loop.java
+++ b/src/main/java/weldcross/gateway/Loop.java
@@ -28,7 +28,8 @@
             Duration next = gateway.nextDue();
             long nanos = next == null ? Long.MAX_VALUE : next.minus(clock.get()).toNanos();
             Gateway.Event event = nanos <= 0 ? posted.poll() : posted.poll(nanos, TimeUnit.NANOSECONDS);
-            if (event != null) {
+            // What has come already comes before what is due: it may be what was waited for.
+            for (int left = posted.size(); event != null; event = left-- > 0 ? posted.poll() : null) {
                 gateway.reduce(clock.get(), event);
             }
             gateway.reduceDue(clock.get());
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -56,6 +56,7 @@
     private final Supplier<Duration> clock;
     private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
     private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
+    private final GatheringProcessor processor;
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector;
     private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
@@ -70,7 +71,7 @@
             thread.setDaemon(true);
             return thread;
         });
-        GatheringProcessor processor = new GatheringProcessor(threads);
+        processor = new GatheringProcessor(threads);
         acceptor = new NioSocketAcceptor(threads, processor);
         connector = new NioSocketConnector(threads, processor);
         set(acceptor.getSessionConfig());
@@ -206,6 +207,11 @@
         }
     }
 
+    @Override
+    public void hear(long connection) {
+        processor.afterReading(() -> loop.post(g -> g.links().heard(connection)));
+    }
+
     @Override
     public void drop(long connection) {
         ConnectFuture future = dials.remove(connection);
--- a/src/main/java/weldcross/gateway/Question.java
+++ b/src/main/java/weldcross/gateway/Question.java
@@ -14,6 +14,9 @@
     /** What goes out, worded when it goes: the time left is part of it. */
     abstract ByteBuffer[] message();
 
+    /** Whether its answer is given at once or never, so that it is waited for no longer than for a dial. */
+    abstract boolean isBrief();
+
     /** How the answer to it is completed; null where nothing is passed on. */
     abstract String tag();
 
--- a/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -22,8 +22,10 @@
         final ServerId server;
         final InetSocketAddress address;
         Question question;
-        boolean up;
+        boolean up, begun;
         int unwritten;
+        /** Counts how far it has come: what was expected of an earlier step is expected no more. */
+        int step, doubted = -1;
         Duration idleSince;
 
         Link(long number, ServerId server, InetSocketAddress address) {
@@ -89,12 +91,45 @@
         links.put(dialled.number, dialled);
         carry(dialled, question);
         effects.dialServer(dialled.number, address);
+        expect(dialled);
+    }
+
+    /**
+     * The other side has the time of a dial for its next word. Whoever is silent for so long is given up, but
+     * not before all is read that it may have said meanwhile: a gateway short of processor time would take
+     * its own slowness for that of all servers.
+     */
+    private void expect(Link link) {
+        int step = ++link.step;
         gateway.at(gateway.now().plus(connectTimeout), () -> {
-            if (!dialled.up && links.containsKey(dialled.number)) {
-                effects.drop(dialled.number);
-                gone(dialled.number, null);
+            if (link.step == step) {
+                link.doubted = step;
+                effects.hear(link.number);
             }
         });
+        gateway.at(gateway.now().plus(connectTimeout.multipliedBy(2)), () -> silent(link, step));
+    }
+
+    /** All that came in until {@link Effects#hear} was asked for has been read. */
+    void heard(long number) {
+        Link link = links.get(number);
+        if (link != null) {
+            silent(link, link.doubted);
+        }
+    }
+
+    private void silent(Link link, int step) {
+        if (link.step != step || !links.containsKey(link.number)) {
+            return;
+        }
+        if (!link.up) {
+            effects.drop(link.number);
+            gone(link.number, null);
+        } else if (link.begun) {
+            spoilt(link.number, "an answer that does not end");
+        } else if (link.question != null) {
+            drop(link.question, Outcome.TIMED_OUT);
+        }
     }
 
     /** Stops waiting: the connection ends with it, so that nothing of it comes back. */
@@ -108,6 +143,7 @@
     void up(long number) {
         Link link = links.get(number);
         if (link != null) {
+            link.step++;
             write(link, Replies.startup());
         } else {
             // Given up as it came up: nobody would ever end it.
@@ -119,6 +155,7 @@
     void ready(long number) {
         Link link = links.get(number);
         if (link != null) {
+            link.step++;
             link.up = true;
             write(link, link.question.message());
         }
@@ -126,8 +163,9 @@
 
     void written(long number) {
         Link link = links.get(number);
-        if (link != null) {
-            link.unwritten--;
+        if (link != null && --link.unwritten == 0 && (!link.up || link.question != null
+                && link.question.isBrief())) {
+            expect(link);
         }
     }
 
@@ -138,6 +176,8 @@
             return;
         }
         Question question = link.question;
+        link.step++;
+        link.begun = false;
         if (answer.state() == null && !answer.isServed(question.tag())) {
             spoilt(number, "a row that is completed as no such statement is");
             return;
@@ -156,13 +196,9 @@
     /** An answer that does not go on is none; its connection would be waited for in vain. */
     void begun(long number) {
         Link link = links.get(number);
-        Question question = link == null ? null : link.question;
-        if (question != null) {
-            gateway.at(gateway.now().plus(connectTimeout), () -> {
-                if (link.question == question) {
-                    spoilt(number, "an answer that does not end");
-                }
-            });
+        if (link != null && link.question != null) {
+            link.begun = true;
+            expect(link);
         }
     }
 
--- a/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/src/test/java/weldcross/gateway/GatewayTest.java
@@ -397,6 +397,16 @@
             told.add((on ? "read " : "hold ") + connection);
         }
 
+        @Override
+        public void hear(long connection) {
+            if (!behind) {
+                gateway.soon(() -> gateway.links().heard(connection));
+            }
+        }
+
+        /** Its own network thread gets no time: nothing that came in has been read yet. */
+        boolean behind;
+
         @Override
         public void drop(long connection) {
             Wire wire = wires.get(connection);
@@ -776,6 +786,47 @@
         assertEquals("ok", w.answers.get(id));
     }
 
+    @Test
+    void aGatewayThatIsBehindDoesNotTakeItsServersForSilent() {
+        World w = World.serving();
+        w.silent.add("s-0");
+        List.copyOf(w.wires.keySet()).stream().filter(n -> n < 0 && "s-0".equals(w.wires.get(n).server))
+                .forEach(w::end);
+        String id = w.ask(w.connect(), true, 2000);
+        long link = w.wires.keySet().stream().min(Long::compare).orElseThrow();
+        w.behind = true;
+        w.wait(300);
+        assertFalse(w.wires.get(link).dropped, "what came in has not been read");
+        w.wires.get(link).open = true;
+        w.tell(g -> g.links().up(link));
+        w.answer(link, null);
+        assertEquals("ok", w.answers.get(id));
+        w.ask(w.connect(), true, 2000);
+        w.wait(400);
+        long other = w.wires.keySet().stream().min(Long::compare).orElseThrow();
+        w.tell(g -> g.links().heard(other));
+        assertTrue(w.wires.get(other).dropped, "all was read, and it said nothing");
+    }
+
+    @Test
+    void whatHasComeIsTakenBeforeWhatIsDue() throws InterruptedException {
+        Duration[] clock = {Duration.ZERO};
+        World w = new World();
+        Loop loop = new Loop(() -> clock[0]);
+        List<String> order = new ArrayList<>();
+        w.gateway.at(Duration.ofMillis(1), () -> order.add("due"));
+        for (int k = 0; k < 3; k++) {
+            loop.post(g -> order.add("came"));
+        }
+        loop.post(g -> g.at(Duration.ofMillis(2), () -> {
+            g.stop();
+            clock[0] = Duration.ofMillis(9000);
+        }));
+        clock[0] = Duration.ofMillis(5000);
+        loop.run(w.gateway);
+        assertEquals(List.of("came", "came", "came", "due"), order);
+    }
+
     @Test
     void whatWasCutBeforeItsLastByteNeverRan() {
         World w = World.serving();
