A gateway warms up before it is ready; servers that left are forgotten

Seen: a fifth of the RPCs of the first 5 s lost. The picture that the gateway now logs at FINE once a second shows 115 RPCs taken and 5 served in its first second, 235 and 231 in the next. The JVM's log of classes and compilation: 227 classes not from the archive (170 made for joining texts and comparing records, the rest never called when the archive is made, or too old a form to be archived: slf4j 1.7), and what an RPC calls not yet compiled. Blamed: the build's flags, the rehearsal without servers, and a start that is ready before it is able.

Now: texts joined by plain calls, ids compare themselves, the rehearsal has stand-ins for a server and discovery; 300 RPCs are played in memory before the start.

--- a/src/main/java/weldcross/Main.java
+++ b/src/main/java/weldcross/Main.java
@@ -1,5 +1,6 @@
 package weldcross;
 
+import java.io.IOException;
 import java.util.logging.Level;
 import weldcross.cli.Commands;
 import weldcross.cli.Serving;
@@ -10,11 +11,15 @@
     private Main() {
     }
 
-    public static void main(String[] args) {
+    public static void main(String[] args) throws IOException {
         // Picocli takes some 0.2 s of one core to load, which at a restart is time in which nobody is served.
         if (args.length == 1 && args[0].equals("serve")) {
             System.exit(Serving.run(Level.INFO));
         }
+        // What is rehearsed for the archive of classes is to load no others than that.
+        if (args.length == 2 && args[0].equals("rehearse")) {
+            System.exit(Serving.rehearse(args[1]));
+        }
         System.exit(Commands.run(args));
     }
 }
--- a/src/main/java/weldcross/bench/WireHost.java
+++ b/src/main/java/weldcross/bench/WireHost.java
@@ -54,6 +54,11 @@
         begin("TELL").append("all ").append(HexFormat.of().formatHex(PeerWord.write(server))).append('\n');
     }
 
+    @Override
+    public void forget(ServerId server) {
+        // Nothing is kept here.
+    }
+
     @Override
     public void watchList() {
         begin("OBSERVE").append("1\n");
--- a/src/main/java/weldcross/cli/Commands.java
+++ b/src/main/java/weldcross/cli/Commands.java
@@ -10,7 +10,6 @@
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Option;
 import weldcross.bench.WireLoop;
-import weldcross.gateway.Rehearsal;
 import weldcross.terms.FaultyTerm;
 import weldcross.terms.GatewayTerms;
 
@@ -103,8 +102,7 @@
 
         @Override
         public Integer call() throws IOException {
-            LogLines.start(Level.WARNING);
-            return Rehearsal.run(GatewayTerms.read(file));
+            return Serving.rehearse(file);
         }
     }
 
--- a/src/main/java/weldcross/cli/Serving.java
+++ b/src/main/java/weldcross/cli/Serving.java
@@ -1,6 +1,8 @@
 package weldcross.cli;
 
+import java.io.IOException;
 import java.util.logging.Level;
+import weldcross.gateway.Rehearsal;
 import weldcross.gateway.Service;
 import weldcross.terms.FaultyTerm;
 import weldcross.terms.GatewayTerms;
@@ -18,7 +20,17 @@
     public static int run(Level level) {
         LogLines.start(level);
         try {
-            return Service.run(() -> GatewayTerms.read(System.getenv()));
+            return Service.run(() -> GatewayTerms.read(System.getenv()), service -> { });
+        } catch (FaultyTerm e) {
+            return faulty(e);
+        }
+    }
+
+    /** The same with stand-ins, as {@link Rehearsal} says; returns with the status to exit with. */
+    public static int rehearse(String file) throws IOException {
+        LogLines.start(Level.WARNING);
+        try {
+            return Rehearsal.run(GatewayTerms.read(file));
         } catch (FaultyTerm e) {
             return faulty(e);
         }
--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -6,9 +6,11 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -17,6 +19,7 @@
 import weldcross.pgwire.Replies;
 import weldcross.pgwire.ServerAnswer;
 import weldcross.pgwire.Statement;
+import weldcross.routing.Condition;
 import weldcross.routing.GroupId;
 import weldcross.routing.Host;
 import weldcross.routing.MethodRow.Need;
@@ -50,6 +53,7 @@
     /** Statements that a connection may have waiting before no more of it is read. */
     private static final int WAITING_STATEMENTS = 8;
 
+    private static final Duration STATE_APART = Duration.ofSeconds(1);
     private static final BigDecimal MOST_NANOS = BigDecimal.valueOf(Long.MAX_VALUE);
 
     private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
@@ -180,6 +184,8 @@
     private final Map<Long, Client> clients = new LinkedHashMap<>();
     private final Map<RpcId, Rpc> rpcs = new LinkedHashMap<>();
     private final Map<ServerId, GroupId> groups = new LinkedHashMap<>();
+    /** All that were ever listed: a group whose members are all gone for a moment is not unknown. */
+    private final Set<GroupId> groupNumbers = new HashSet<>();
     private final Map<GroupId, ServerId> primaries = new LinkedHashMap<>();
     private final RareLog complaints = new RareLog(LOG);
     private final RareLog claims = new RareLog(LOG);
@@ -279,6 +285,16 @@
             effects.joinPeers(terms.peerListen());
         }
         list.start();
+        if (LOG.isLoggable(Level.FINE)) {
+            state();
+        }
+    }
+
+    /** What this gateway holds true, once a second, to be compared with what crosses the sockets. */
+    private void state() {
+        LOG.fine(() -> clients.size() + " clients, " + rpcs.size() + " rpcs; " + counts() + "; "
+                + links.inWords() + "; " + router.inWords(now));
+        at(now.plus(STATE_APART), this::state);
     }
 
     void stop() {
@@ -331,12 +347,16 @@
             at(now.plus(STILL_COMING), this::stopIfDone);
         }
         if (clients.isEmpty() || now.minus(answeredAt).compareTo(STILL_COMING) >= 0) {
-            LOG.info(() -> "stopped: " + taken + " taken, " + served + " ok, " + pushedBack + " pushed back, "
-                    + aborted + " aborted, " + left + " left by their clients");
+            LOG.info(() -> "stopped: " + counts());
             enter(Phase.STOPPED);
         }
     }
 
+    private String counts() {
+        return taken + " taken, " + served + " ok, " + pushedBack + " pushed back, " + aborted + " aborted, "
+                + left + " left by their clients";
+    }
+
     // ---- Clients
 
     void accepted(long number) {
@@ -375,6 +395,12 @@
         stopIfDone();
     }
 
+    /** It said that it is done. */
+    void clientEnded(long number) {
+        effects.drop(number);
+        clientGone(number);
+    }
+
     void encryptionAsked(long number) {
         inTurn(number, client -> write(client, Replies.noEncryption()));
     }
@@ -464,7 +490,7 @@
         } else if (statement.tenant() != null && !terms.tenants().isEmpty()
                 && !terms.tenants().contains(statement.tenant())) {
             fault = "unknown tenant";
-        } else if (!groups.containsValue(group)) {
+        } else if (!groupNumbers.contains(group)) {
             fault = "unknown cluster";
         } else if (rpcs.containsKey(id)) {
             fault = "id is in use";
@@ -531,7 +557,8 @@
         }
         if (report.position() != null) {
             BigDecimal nanos = report.position().movePointRight(9).setScale(0, RoundingMode.FLOOR);
-            Duration position = position(Duration.ofNanos(nanos.min(MOST_NANOS).max(BigDecimal.ZERO).longValue()));
+            Duration position = position(Duration.ofNanos(nanos.max(BigDecimal.ZERO).min(MOST_NANOS)
+                    .longValue()));
             if (position == null) {
                 return;
             }
@@ -543,7 +570,7 @@
     /** For the log alone: what a server says of itself, which the router may know better. */
     private void noteRole(ServerId server, Boolean primary) {
         GroupId group = groups.get(server);
-        if (Boolean.TRUE.equals(primary) && !server.equals(primaries.put(group, server))) {
+        if (group != null && Boolean.TRUE.equals(primary) && !server.equals(primaries.put(group, server))) {
             claims.say(now, Level.INFO, "group " + group.number() + ": " + server.name()
                     + " says that it is the primary");
         }
@@ -570,7 +597,10 @@
                 links.listed(server, m.address());
             }
             GroupId group = new GroupId(m.group());
-            groups.put(server, group);
+            if (m.condition() != Condition.GONE || groups.containsKey(server)) {
+                groups.put(server, group);
+                groupNumbers.add(group);
+            }
             router.memberListed(now, server, new ZoneId(m.zone()), group, m.condition(),
                     m.upSinceMillis() == 0 ? null : since(m.upSinceMillis()), m.head());
         }
@@ -649,6 +679,12 @@
         }
     }
 
+    @Override
+    public void forget(ServerId server) {
+        links.forget(server);
+        groups.remove(server);
+    }
+
     /** The list is watched from the start and again after each failure: there is nothing left to ask for. */
     @Override
     public void watchList() {
--- a/src/main/java/weldcross/gateway/GatheringProcessor.java
+++ b/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -14,8 +14,8 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA writes one buffer at a time; this is the least that makes it gather, and tell how far it has read. The channel behind a session is
- * not to be had from it, but the selector's key knows both.
+ * MINA writes one buffer at a time; this is the least that makes it gather, and tell how far it has read. The
+ * channel behind a session is not to be had from it, but the selector's key knows both.
  */
 final class GatheringProcessor extends NioProcessor {
 
--- a/src/main/java/weldcross/gateway/ListWatch.java
+++ b/src/main/java/weldcross/gateway/ListWatch.java
@@ -180,7 +180,7 @@
             });
         }
 
-        /** The list held stays in force; asking goes on soon, from the whole list, as a change may be lost. */
+        /** The list held stays in force; asked again soon, from the whole list, as a change may be lost. */
         void fail(String why) {
             if (!failing) {
                 failing = true;
--- a/src/main/java/weldcross/gateway/Loop.java
+++ b/src/main/java/weldcross/gateway/Loop.java
@@ -19,6 +19,14 @@
         posted.add(event);
     }
 
+    /** Makes all changes that have come or are due, without waiting for more. */
+    void catchUp(Gateway gateway) {
+        for (Gateway.Event event = posted.poll(); event != null; event = posted.poll()) {
+            gateway.reduce(clock.get(), event);
+        }
+        gateway.reduceDue(clock.get());
+    }
+
     /**
      * Returns when the gateway has stopped; a fault in it comes out, as a process that only seems alive is
      * worse.
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -23,9 +23,7 @@
 import weldcross.discovery.HttpReader;
 import weldcross.peers.PeerWord;
 import weldcross.pgwire.ClientReader;
-import weldcross.pgwire.ServerAnswer;
 import weldcross.pgwire.ServerReader;
-import weldcross.pgwire.Statement;
 import weldcross.routing.ServerId;
 
 /** Performs the effects on Apache MINA; its threads only parse what comes and post it. */
@@ -234,44 +232,7 @@
     }
 
     private Stream client(long number) {
-        ClientReader reader = new ClientReader(new ClientReader.Sink() {
-            @Override
-            public void encryptionAsked() {
-                loop.post(g -> g.encryptionAsked(number));
-            }
-
-            @Override
-            public void started() {
-                loop.post(g -> g.clientStarted(number));
-            }
-
-            @Override
-            public void asked(Statement statement) {
-                Duration arrived = clock.get();
-                loop.post(g -> g.asked(number, statement, arrived));
-            }
-
-            @Override
-            public void askedNothing() {
-                loop.post(g -> g.askedNothing(number));
-            }
-
-            @Override
-            public void askedWrongly(String state, String text) {
-                loop.post(g -> g.askedWrongly(number, state, text));
-            }
-
-            @Override
-            public void broke(String state, String text) {
-                loop.post(g -> g.clientBroke(number, state, text));
-            }
-
-            @Override
-            public void ended() {
-                drop(number);
-                loop.post(g -> g.clientGone(number));
-            }
-        });
+        ClientReader reader = Streams.client(loop, clock, number);
         return new Stream() {
             @Override
             void opened() {
@@ -296,27 +257,7 @@
     }
 
     private Stream server(long number) {
-        ServerReader reader = new ServerReader(new ServerReader.Sink() {
-            @Override
-            public void ready() {
-                loop.post(g -> g.links().ready(number));
-            }
-
-            @Override
-            public void answered(ServerAnswer answer, boolean more) {
-                loop.post(g -> g.links().answered(number, answer, more));
-            }
-
-            @Override
-            public void begun() {
-                loop.post(g -> g.links().begun(number));
-            }
-
-            @Override
-            public void spoilt(String why) {
-                loop.post(g -> g.links().spoilt(number, why));
-            }
-        });
+        ServerReader reader = Streams.server(loop, number);
         return new Stream() {
             @Override
             void opened() {
--- a/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import weldcross.pgwire.Replies;
 import weldcross.pgwire.ServerAnswer;
 import weldcross.routing.Outcome;
@@ -35,6 +36,8 @@
         }
     }
 
+    private static final ArrayDeque<Link> NONE = new ArrayDeque<>();
+
     private final Gateway gateway;
     private final Effects effects;
     private final Duration connectTimeout;
@@ -62,15 +65,24 @@
     void listed(ServerId server, InetSocketAddress address) {
         InetSocketAddress before = addresses.put(server, address);
         if (before != null && !before.equals(address)) {
-            List.copyOf(idleAt(server)).forEach(this::remove);
+            List.copyOf(idle.getOrDefault(server, NONE)).forEach(this::remove);
+        }
+    }
+
+    void forget(ServerId server) {
+        addresses.remove(server);
+        ArrayDeque<Link> unused = idle.remove(server);
+        if (unused != null) {
+            List.copyOf(unused).forEach(this::remove);
         }
     }
 
     void ask(ServerId server, Question question) {
-        Link link = idleAt(server).peekFirst();
+        ArrayDeque<Link> unused = idle.getOrDefault(server, NONE);
+        Link link = unused.peekFirst();
         if (link != null && gateway.now().minus(link.idleSince).compareTo(settle) < 0) {
             // What comes behind an answer comes right behind it: the one that has been quiet longest is safe.
-            link = idleAt(server).peekLast();
+            link = unused.peekLast();
         }
         if (link != null && gateway.now().minus(link.idleSince).compareTo(settle) >= 0) {
             rouse(link);
@@ -269,6 +281,20 @@
         effects.write(link.number, parts);
     }
 
+    /** For the log: connections by server, and how many of them carry a question. */
+    String inWords() {
+        Map<String, int[]> counts = new TreeMap<>();
+        for (Link link : links.values()) {
+            int[] count = counts.computeIfAbsent(link.server.name(), s -> new int[2]);
+            count[0]++;
+            count[1] += link.question == null ? 0 : 1;
+        }
+        StringBuilder words = new StringBuilder("connections");
+        counts.forEach((server, c) -> words.append(' ').append(server).append(' ').append(c[1]).append('/')
+                .append(c[0]));
+        return words.toString();
+    }
+
     private void rest(Link link) {
         if (!link.address.equals(addresses.get(link.server))) {
             remove(link);
@@ -276,7 +302,7 @@
         }
         boolean first = link.idleSince == null;
         link.idleSince = gateway.now();
-        idleAt(link.server).addFirst(link);
+        idle.computeIfAbsent(link.server, s -> new ArrayDeque<>()).addFirst(link);
         resting.add(link);
         if (first) {
             gateway.at(link.idleSince.plus(idleFor), () -> tire(link));
@@ -301,14 +327,10 @@
     /** From its rest, if it is at rest: to work, or to its end. */
     private void rouse(Link link) {
         if (resting.remove(link)) {
-            idleAt(link.server).remove(link);
+            idle.computeIfPresent(link.server, (s, all) -> all.remove(link) && all.isEmpty() ? null : all);
         }
     }
 
-    private ArrayDeque<Link> idleAt(ServerId server) {
-        return idle.computeIfAbsent(server, s -> new ArrayDeque<>());
-    }
-
     private void remove(Link link) {
         links.remove(link.number);
         rouse(link);
--- a/src/main/java/weldcross/gateway/Service.java
+++ b/src/main/java/weldcross/gateway/Service.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -16,6 +17,8 @@
 
     /** The status of a process that broke, apart from those of a faulty command line or configuration. */
     private static final int BROKEN = 70;
+    /** RPCs after which what an RPC calls is compiled; the JVM does that after some 200 calls. */
+    private static final int WARM_UP = 300;
 
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
 
@@ -37,14 +40,18 @@
      * Serves until the process is asked to end; returns the status to exit with.
      *
      * @param reader reads the terms, now and whenever the process is told to read them again
+     * @param begun is handed the service before it serves
      */
-    public static int run(Supplier<GatewayTerms> reader) {
-        Service service = new Service(reader.get());
+    public static int run(Supplier<GatewayTerms> reader, Consumer<Service> begun) {
+        GatewayTerms terms = reader.get();
+        WarmUp.play(terms, WARM_UP);
+        Service service = new Service(terms);
         // Each signal has a thread of its own.
         Signal.handle(new Signal("HUP"), signal -> service.reload(reader));
         // Not a shutdown hook: by then the log is closed already, and the status is that of a killed process.
         Signal.handle(new Signal("TERM"), signal -> service.stop());
         Signal.handle(new Signal("INT"), signal -> service.stop());
+        begun.accept(service);
         return service.serve();
     }
 
--- a/src/main/java/weldcross/pgwire/Replies.java
+++ b/src/main/java/weldcross/pgwire/Replies.java
@@ -42,6 +42,16 @@
         return join(error("FATAL", state, text, null));
     }
 
+    /** A row as a server gives it, with its role and position: for stand-ins. */
+    public static byte[] row(String value, String tag, long positionMillis) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        byte[] data = ByteBuffer.allocate(11 + bytes.length).put((byte) 'D').putInt(10 + bytes.length)
+                .putShort((short) 1).putInt(bytes.length).put(bytes).array();
+        return join(message('T', "\0\1content" + "\0".repeat(19)), data, message('C', tag + "\0"),
+                message('S', "mode\0read-write\0"), message('S', "wal_time\0" + positionMillis + "\0"), READY)
+                .array();
+    }
+
     /** The start of a session at a server. */
     public static ByteBuffer startup() {
         byte[] body = "user\0backend\0database\0store\0\0".getBytes(StandardCharsets.US_ASCII);
--- a/src/main/java/weldcross/pgwire/ServerAnswer.java
+++ b/src/main/java/weldcross/pgwire/ServerAnswer.java
@@ -91,7 +91,7 @@
     /** Whether there is a whole row, ended as such a statement ends. */
     public boolean isServed(String tag) {
         return state == null && complete != null && (tag == null || complete.limit() == 6 + tag.length()
-                && text(complete, 5, complete.limit() - 1).equals(tag) && complete.get(complete.limit() - 1) == 0);
+                && text(complete, 5, complete.limit()).equals(tag + "\0"));
     }
 
     /** The row as its client gets it: untouched, then ready. */
--- a/src/main/java/weldcross/routing/Host.java
+++ b/src/main/java/weldcross/routing/Host.java
@@ -22,6 +22,9 @@
     /** Tells all other gateways that no process was found there; the message may be lost. */
     void tellPeers(ServerId server);
 
+    /** The server left the list, nothing is out there, and it is not called until it is listed again. */
+    void forget(ServerId server);
+
     /** Asks for changes of the server list from now on. */
     void watchList();
 
--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -13,15 +13,13 @@
 import java.util.function.Consumer;
 import weldcross.routing.MethodRow.Effect;
 import weldcross.routing.MethodRow.Need;
-import weldcross.routing.MethodRow.Scope;
 
 /**
  * Decides where each RPC goes: the fast causal reads of Readwritesplit, from one gateway's own knowledge.
  *
  * <p>A gateway ({@code weldcross.gateway.Gateway}, on the bench {@code weldcross.bench.WireLoop}) calls one
- * public method for each thing that happens, with the time since this router started; the router acts by
- * calling {@link Host}, the interface it is handed, with {@link ServiceTerms}, at the start. The ordinary
- * path is {@link #choose}; all else guards it. docs/design.md says what is kept, what was added, and when.
+ * public method for each thing that happens, with the time since this router started; it acts by calling
+ * {@link Host}, its interface outwards. The ordinary path is {@link #choose}; docs/design.md has the rest.
  */
 public final class Router {
 
@@ -82,9 +80,7 @@
         /** Among equals the least goes first; most picks of a gateway that sees little are among equals. */
         double order;
         final LinkedHashSet<CallOut> out = new LinkedHashSet<>();
-        Duration lastWord = Duration.ZERO;
-        Duration seekGap = SHORT_WAIT;
-        Duration doubt = FIRST_DOUBT;
+        Duration lastWord = Duration.ZERO, seekGap = SHORT_WAIT, doubt = FIRST_DOUBT;
         double window;
         Duration coldNext = Duration.ZERO, restUntil = Duration.ZERO, windowAt = Duration.ZERO;
         Duration answeredSent = Duration.ZERO;
@@ -111,8 +107,9 @@
     }
 
     private record CallOut(Rpc rpc, Seat seat, int number, Duration sent, double work) {
-        boolean isOut() {
-            return seat.out.contains(this);
+        @Override
+        public int hashCode() {
+            return rpc.id.hashCode();
         }
     }
 
@@ -255,7 +252,7 @@
             learn(now, seat, primary ? asOf : pos, primary, true);
         }
         judge(now, seat, callOut, outcome, took);
-        if (ended) {
+        if (ended && !rpc.answered) {
             close(rpc, outcome == Outcome.OK);
         }
         if (!rpc.answered && rpc.out == 0) {
@@ -269,8 +266,8 @@
 
     public void clientLeft(Duration now, RpcId id) {
         Rpc rpc = open.get(id);
-        if (rpc != null) {
-            rpc.abandoned = !rpc.answered;
+        if (rpc != null && !rpc.answered) {
+            rpc.abandoned = true;
             close(rpc, false);
         }
     }
@@ -338,14 +335,19 @@
         long warm = seats.values().stream().filter(s -> s.listed && !cold(now, s)).count();
         warmRate += warm == 0 ? 0 : (workDone / warm - warmRate * seconds(BEAT)) / seconds(PACE_SPAN);
         workDone = 0;
-        while (!tokens.isEmpty()) {
-            Map.Entry<SessionId, Duration> oldest = tokens.entrySet().iterator().next();
-            if (now.minus(TOKEN_KEPT).compareTo(oldest.getValue()) < 0) {
-                break;
-            }
-            floor = later(floor, oldest.getValue());
-            tokens.remove(oldest.getKey());
-        }
+        tokens.values().removeIf(token -> {
+            boolean old = now.minus(TOKEN_KEPT).compareTo(token) >= 0;
+            floor = old ? later(floor, token) : floor;
+            return old;
+        });
+        // Who left the list is known no more, once nothing of it is out: successors come all day.
+        seats.values().removeIf(s -> !s.listed && s.out.isEmpty() && !s.probing && forget(s));
+    }
+
+    private boolean forget(Seat seat) {
+        host.forget(seat.id);
+        seat.group.primary = seat.group.primary == seat ? null : seat.group.primary;
+        return seat.group.seats.remove(seat);
     }
 
     public void dueReached(Duration now) {
@@ -394,7 +396,7 @@
 
     /** Against all that keeps an answer away: a gateway that sees little has no samples, but it can ask. */
     private void overdue(Duration now, CallOut c) {
-        if (!c.isOut()) {
+        if (!c.seat.out.contains(c)) {
             return;
         }
         Seat seat = c.seat;
@@ -482,11 +484,9 @@
 
     /** Of equals in reads the one that comes first in this gateway's own order. */
     private static boolean lessBusy(Seat a, Seat b) {
-        if (a.reads != b.reads) {
-            return a.reads < b.reads;
-        }
         boolean even = (int) a.order == (int) b.order && a.pos != null && b.pos != null;
-        return even ? a.pos.compareTo(b.pos) > 0 : a.order < b.order;
+        boolean before = even ? a.pos.compareTo(b.pos) > 0 : a.order < b.order;
+        return a.reads == b.reads ? before : a.reads < b.reads;
     }
 
     /** No primary is known: the members in turn, and after a round a short wait, one write at a time. */
@@ -566,8 +566,8 @@
     /** Utility for a server's time; the less of a method is served the more, lest it pay for all others. */
     private double value(Duration now, Rpc rpc) {
         boolean late = now.compareTo(rpc.arrived.plus(rpc.row.softDeadline())) >= 0;
-        double utility = rpc.worth * (late ? rpc.row.lateUtility() : 1);
-        return utility / seconds(rpc.row.softDeadline()) / (LEAST_SERVED + served[rpc.method]);
+        return rpc.worth * (late ? rpc.row.lateUtility() : 1) / seconds(rpc.row.softDeadline())
+                / (LEAST_SERVED + served[rpc.method]);
     }
 
     /** What failed before its time is tried elsewhere, after all members only with the next look. */
@@ -591,9 +591,8 @@
 
     private void giveUp(Rpc rpc) {
         boolean clean = rpc.out == 0 && !rpc.mayHaveRun;
-        boolean harmless = rpc.row.effect() == Effect.IDEMPOTENT || clean
-                || rpc.row.effect() == Effect.TOKENED && rpc.row.scope() == Scope.ALL;
-        if (harmless) {
+        if (rpc.row.effect() == Effect.IDEMPOTENT || clean
+                || rpc.row.effect() == Effect.TOKENED && rpc.row.scope() == MethodRow.Scope.ALL) {
             host.pushBack(rpc.id, terms.longestComeBack());
         } else {
             host.abort(rpc.id);
@@ -602,14 +601,12 @@
     }
 
     private void close(Rpc rpc, boolean ok) {
-        if (rpc.answered) {
-            return;
-        }
         served[rpc.method] += SERVED_GAIN * ((ok ? 1 : 0) - served[rpc.method]);
         rpc.answered = true;
         rpc.group.held.remove(rpc);
         if (terms.cancels()) {
-            rpc.callOuts.stream().filter(CallOut::isOut).forEach(c -> host.cancel(rpc.id, c.number));
+            rpc.callOuts.stream().filter(c -> c.seat.out.contains(c))
+                    .forEach(c -> host.cancel(rpc.id, c.number));
         }
         if (rpc.out == 0) {
             open.remove(rpc.id);
@@ -648,8 +645,8 @@
 
     /** A repeat of a tokened RPC is known in its group, which all sends stay in, or only in its zone. */
     private boolean knowsRepeats(Rpc rpc, Seat seat) {
-        return rpc.row.effect() != Effect.TOKENED || rpc.row.scope() != Scope.ZONE || rpc.callOuts.isEmpty()
-                || rpc.callOuts.get(0).seat.zone.equals(seat.zone);
+        return rpc.row.effect() != Effect.TOKENED || rpc.row.scope() != MethodRow.Scope.ZONE
+                || rpc.callOuts.isEmpty() || rpc.callOuts.get(0).seat.zone.equals(seat.zone);
     }
 
     /** Who could not be reached is asked before an RPC is risked; else RPCs that may run again are trials. */
@@ -702,9 +699,9 @@
     }
 
     /**
-     * Against pushing over a cold server: a gateway's share of a warm server's work, times the least part of
-     * its capacity the cold one has, adds up over all gateways to what that one can take. So far apart lie
-     * its call-outs there. Who has done nothing yet takes its part of one call-out a fall window.
+     * Against pushing over a cold server: a gateway's share of a warm server's work, times the least part it
+     * has of its capacity, adds up over all gateways to what it can take. So far apart lie the call-outs there;
+     * who has done nothing yet takes its part of one a fall window.
      */
     private Duration coldGap(Duration now, Seat seat, int method) {
         double rate = COLD_MARGIN * terms.fallMultiple() * coldShare(now, seat) * warmRate;
@@ -733,14 +730,11 @@
             // Settles at the median: with a mean, one jammed server would make every RPC look hopeless.
             double stride = seconds(took) < usual[m] ? 1 / STRIDE : STRIDE;
             usual[m] = usual[m] == 0 ? seconds(took) : usual[m] * stride;
+            workDone += cold(now, seat) ? 0 : callOut.work;
+            extra += EXTRA_PER_OK;
         }
         switch (outcome) {
-            case OK -> {
-                workDone += cold(now, seat) ? 0 : callOut.work;
-                extra += EXTRA_PER_OK;
-                trust(now, seat, callOut);
-            }
-            case MISS -> trust(now, seat, callOut);
+            case OK, MISS -> trust(now, seat, callOut);
             // One alone proves nothing: errors happen, and connections are reset on live servers.
             case ERROR, NO_ROOM, CUT -> seat.strikes++;
             case NO_ROUTE -> {
@@ -759,9 +753,8 @@
     }
 
     /**
-     * The window of a server: this router's call-outs there, more wait in the gateway. It settles where
-     * answers take {@link #EASE} of their soft deadline, whatever slows the server. Against queues there,
-     * where nothing can be chosen; harmful if soft deadlines are set far from what the work takes.
+     * This router's call-outs at a server; more wait in the gateway. Settles where answers take {@link #EASE}
+     * of their soft deadline. Against queues; harmful if soft deadlines are far from what the work takes.
      */
     private void widen(Duration now, Seat seat, CallOut callOut, Outcome outcome, Duration took) {
         if (outcome.neverRan && outcome != Outcome.NO_ROOM || lost(callOut)) {
@@ -815,6 +808,14 @@
         }
     }
 
+    /** For the log: of each server its call-outs, window, age of its position in ms, and its standing. */
+    public String inWords(Duration now) {
+        return seats.values().stream().map(s -> s.id.name() + " " + s.out.size() + "/" + (int) s.window + " "
+                + (s.pos == null ? "?" : now.minus(s.pos).toMillis()) + (s == s.group.primary ? " primary" : "")
+                + (s.doubted ? " doubted" : "") + (cold(now, s) ? " cold" : "") + (s.listed ? "" : " gone"))
+                .toList() + ", held " + groups.values().stream().mapToInt(g -> g.held.size()).sum();
+    }
+
     private static Duration later(Duration a, Duration b) {
         return a == null || b != null && b.compareTo(a) > 0 ? b : a;
     }
--- a/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/src/main/java/weldcross/terms/GatewayTerms.java
@@ -82,17 +82,19 @@
                 told.under("known"));
     }
 
-    /**
-     * The same on a loopback port that the system picks, where nobody else is: one server that is not there.
-     */
-    public GatewayTerms alone() {
-        InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-        String list = "revision=0 complete=true members.count=1 members.0.id=s-0 members.0.cell=0 "
-                + "members.0.host_port=127.0.0.1:1 members.0.phase=active";
-        return new GatewayTerms(name, free, nobody, seed, sockets, service, methods, tenants, zones, null,
-                null, idleClose, connectTimeout, reportsByProbe,
-                NamedValues.ofPairs(list.split(" "), 0));
+    /** The same on loopback ports that the system picks, with a group of servers and a discovery at those given. */
+    public GatewayTerms alone(int discovery, int... servers) {
+        InetAddress here = InetAddress.getLoopbackAddress();
+        InetSocketAddress free = new InetSocketAddress(here, 0);
+        StringBuilder list = new StringBuilder("revision=0 complete=true members.count=" + servers.length);
+        for (int k = 0; k < servers.length; k++) {
+            String member = " members." + k + ".";
+            list.append(member).append("id=s-").append(k).append(member).append("cell=0").append(member)
+                    .append("host_port=127.0.0.1:").append(servers[k]).append(member).append("phase=active");
+        }
+        return new GatewayTerms(name, free, new InetSocketAddress(here, discovery), seed, sockets, service,
+                methods, tenants, zones, free, new InetSocketAddress(here, discovery), idleClose, connectTimeout,
+                reportsByProbe, NamedValues.ofPairs(list.toString().split(" "), 0));
     }
 
     /** The keys whose new values only a restart brings into force; seed and known list are a start's own. */
--- a/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/src/test/java/weldcross/gateway/GatewayTest.java
@@ -234,15 +234,16 @@
 
         void row(long link, String value, String tag) {
             wires.get(link).statement = null;
-            for (byte[] part : List.of(message('T', COLUMNS), message('D', "\0\1\0\0\0" + (char) value.length()
-                    + value), message('C', tag + "\0"), message('Z', "I"))) {
+            for (byte[] part : List.of(message('T', COLUMNS), message('D', "\0\1\0\0\0"
+                    + (char) value.length() + value), message('C', tag + "\0"), message('Z', "I"))) {
                 feed(wires.get(link), ByteBuffer.wrap(part));
             }
         }
 
         /** Told by a signal to read its terms again: discovery at another port. */
         void reload(int port) {
-            byte[] terms = config("\"discovery\":\"127.0.0.1:1\"", "\"discovery\":\"127.0.0.1:" + port + "\"");
+            byte[] terms = config("\"discovery\":\"127.0.0.1:1\"", "\"discovery\":\"127.0.0.1:" + port
+                    + "\"");
             tell(g -> g.reload(GatewayTerms.of(NamedValues.ofJson(terms))));
         }
 
@@ -660,7 +661,8 @@
         World w = new World();
         w.wait(5);
         List<String> absurd = List.of("x0=1e999999999,x1=1", "x0=1e-999999999,x1=1", "x0=9e18,x1=1",
-                "x0=" + (UNIX_MILLIS / 1000 + 9) + ",x1=1", "x0=1,x1=", "x0", "=", ",,,", "x0=-99,x1=1e99999");
+                "x0=" + (UNIX_MILLIS / 1000 + 9) + ",x1=1", "x0=1,x1=", "x0", "=", ",,,",
+                "x0=-99,x1=1e99999");
         for (String report : absurd) {
             w.asked().forEach(probe -> w.row(probe, report, "SHOW"));
             w.wait(3000);
@@ -808,6 +810,13 @@
         assertTrue(w.wires.get(other).dropped, "all was read, and it said nothing");
     }
 
+    @Test
+    void theWarmUpIsServedAndSaysNothing() {
+        GatewayTerms terms = GatewayTerms.of(NamedValues.ofJson(config()));
+        List<String> lines = logged(() -> assertTrue(WarmUp.play(terms, 300) > 270));
+        assertEquals(List.of(), lines);
+    }
+
     @Test
     void whatHasComeIsTakenBeforeWhatIsDue() throws InterruptedException {
         Duration[] clock = {Duration.ZERO};
--- a/src/test/java/weldcross/gateway/ServiceTest.java
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -288,7 +288,8 @@
         ByteBuffer d = ByteBuffer.allocate(6 + value.length()).putShort((short) 1).putInt(value.length())
                 .put(value.getBytes(StandardCharsets.ISO_8859_1));
         String body = new String(d.array(), StandardCharsets.ISO_8859_1);
-        return concat(message('T', "\0\1content\0" + "\0".repeat(18)), message('D', body), message('C', tag + "\0"));
+        return concat(message('T', "\0\1content\0" + "\0".repeat(18)), message('D', body),
+                message('C', tag + "\0"));
     }
 
     private static byte[] concat(byte[]... parts) {
--- a/src/test/java/weldcross/pgwire/PgWireTest.java
+++ b/src/test/java/weldcross/pgwire/PgWireTest.java
@@ -173,7 +173,8 @@
                 default -> stream = bytes(stream, served("other"));
             }
             Told told = Told.of(stream, dice);
-            assertTrue(told.served().isEmpty() || told.served().equals(List.of("value")), told.words.toString());
+            assertTrue(told.served().isEmpty() || told.served().equals(List.of("value")),
+                    told.words.toString());
             boolean spoilt = told.words.stream().anyMatch(w -> w.equals("spoilt") || w.endsWith("more"));
             if (spoilt || !told.served().isEmpty()) {
                 told.hear(served("next"), dice);
@@ -208,8 +209,8 @@
 
     @Test
     void aParameterThatCannotBeReadSpoilsNothing() {
-        for (String text : List.of("wal_time\0soon\0", "wal_time\0" + "99999999999999999999\0", "stats", "mode\0",
-                "mode\0neither\0", "\0\0\0\0")) {
+        for (String text : List.of("wal_time\0soon\0", "wal_time\0" + "99999999999999999999\0", "stats",
+                "mode\0", "mode\0neither\0", "\0\0\0\0")) {
             Told told = Told.of(bytes(message('T', COLUMNS), row("v"), message('C', "SELECT 1\0"),
                     message('S', "mode\0read-only\0"), message('S', text), message('Z', "I")), null);
             assertEquals(List.of("ready", "true null v false 0"), told.words, text);
--- a/src/test/java/weldcross/routing/Rig.java
+++ b/src/test/java/weldcross/routing/Rig.java
@@ -65,6 +65,7 @@
     Duration due;
     int watches;
     int dueAsks;
+    int forgotten;
     private int named;
 
     Rig(ServiceTerms terms, long seed) {
@@ -307,6 +308,13 @@
         watches++;
     }
 
+    @Override
+    public void forget(ServerId server) {
+        check(servers.get(server.name()).told == Condition.GONE, "forgotten though it is listed");
+        check(out.stream().noneMatch(s -> s.server.id.equals(server)), "forgotten while something is out");
+        forgotten++;
+    }
+
     @Override
     public void ringAt(Duration at) {
         ring = at;
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -373,6 +373,30 @@
         assertEquals("s0", rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)).server().id.name());
     }
 
+    /** Successors under new ids all day: kept for good, they filled memory and thinned what cold ones got. */
+    @Test
+    void whoLeftTheListIsKnownNoMore() {
+        Rig rig = Rig.settled();
+        for (int k = 3; k < 1000; k++) {
+            Rig.Server server = new Rig.Server(k, 0);
+            server.told = Condition.ON;
+            server.primary = k % 3 == 0;
+            rig.servers.put(server.id.name(), server);
+            Rig.Server old = rig.server(k - 3);
+            old.told = Condition.GONE;
+            rig.list();
+            rig.wait(ms(1));
+            rig.report(server, rig.now);
+            rig.wait(ms(300));
+            String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+            assertEquals("s" + k / 3 * 3, rig.only(write).server().id.name());
+            rig.wait(ms(2));
+            rig.serve(Duration.ZERO);
+        }
+        assertEquals(997, rig.forgotten);
+        assertEquals(3, rig.router.inWords(rig.now).split("s\\d+ ").length - 1, rig.router.inWords(rig.now));
+    }
+
     /** Rings multiplied once: each left over from an earlier due time asked for another. */
     @Test
     void aRingLeftOverAsksForNoOther() {
