--- a/src/main/java/weldcross/gateway/DueTimes.java
+++ b/src/main/java/weldcross/gateway/DueTimes.java
@@ -14,6 +14,10 @@
         dues.computeIfAbsent(when, w -> new ArrayList<>(1)).add(due);
     }
 
+    int size() {
+        return dues.size();
+    }
+
     /** Null where nothing is due. */
     Duration next() {
         return dues.isEmpty() ? null : dues.firstKey();
--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -50,20 +50,25 @@
 
     /** New connections still come for this long after a stop was asked for, as clients learn of it late. */
     private static final Duration STILL_COMING = Duration.ofMillis(450);
-    /** Statements that a connection may have waiting before no more of it is read. */
-    private static final int WAITING_STATEMENTS = 8;
+    /** Statements of one connection that are worked at a time; with more waiting no more of it is read. */
+    private static final int SIDE_BY_SIDE = 16;
+    /** Statements that one read may bring beyond these; a client with more has no use for their answers. */
+    private static final int MOST_WAITING = 64;
 
     private static final Duration STATE_APART = Duration.ofSeconds(1);
     private static final BigDecimal MOST_NANOS = BigDecimal.valueOf(Long.MAX_VALUE);
 
     private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
 
-    /** A client's connection: what it asked is worked in its order, one at a time. */
+    /** A client's connection: what it asks is worked side by side and answered in its order. */
     private static final class Client {
         final long number;
-        final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-        Rpc rpc;
-        boolean writing, ending, unread;
+        /** What it asked that is not begun, and what is begun and has not gone out. */
+        final ArrayDeque<Consumer<Turn>> waiting = new ArrayDeque<>(2);
+        final ArrayDeque<Turn> turns = new ArrayDeque<>(2);
+        boolean writing, ending, unread, asked;
+        /** Counts what it has said: a message begun earlier is waited for no more. */
+        int words;
         Duration idleSince;
 
         Client(long number, Duration now) {
@@ -72,23 +77,35 @@
         }
 
         boolean isIdle() {
-            return rpc == null && !writing && waiting.isEmpty();
+            return turns.isEmpty() && !writing && waiting.isEmpty();
+        }
+    }
+
+    /** One thing that a client asked, until its answer goes out. */
+    private static final class Turn {
+        final Client client;
+        Rpc rpc;
+        ByteBuffer[] answer;
+
+        Turn(Client client) {
+            this.client = client;
         }
     }
 
     /** An RPC that is not answered, or whose call-outs are still out. */
     private static final class Rpc {
         final RpcId id;
-        final Client client;
+        final Turn turn;
         final Statement statement;
         final Duration deadline;
         final List<CallOut> callOuts = new ArrayList<>(1);
         int out;
         boolean answered;
 
-        Rpc(RpcId id, Client client, Statement statement, Duration deadline) {
+        Rpc(RpcId id, Turn turn, Statement statement, Duration deadline) {
             this.id = id;
-            this.client = client;
+            this.turn = turn;
+            turn.rpc = this;
             this.statement = statement;
             this.deadline = deadline;
         }
@@ -190,6 +207,8 @@
     private final RareLog complaints = new RareLog(LOG);
     private final RareLog claims = new RareLog(LOG);
     private final int mostClients;
+    /** A client that is silent for so long, with nothing open here, may lose its connection. */
+    private final Duration silence;
     private Router router;
     private Phase phase = Phase.STARTING;
     private boolean warm;
@@ -206,8 +225,10 @@
         this.terms = terms;
         this.effects = effects;
         this.unixAtStart = unixAtStart;
-        // An eighth of the descriptors is the process's own; clients and servers cannot starve each other.
-        this.mostClients = terms.sockets() / 2;
+        // An eighth of the descriptors is the process's own, a sixteenth for clients on their way out; clients
+        // and servers cannot starve each other.
+        this.mostClients = terms.sockets() * 7 / 16;
+        this.silence = terms.connectTimeout().multipliedBy(8);
         this.links = new ServerLinks(this, effects, terms.connectTimeout(), terms.idleClose(),
                 terms.sockets() * 3 / 8);
         this.list = new ListWatch(this, effects, terms);
@@ -294,8 +315,7 @@
 
     /** What this gateway holds true, once a second, to be compared with what crosses the sockets. */
     private void state(Duration due) {
-        LOG.fine(() -> now.minus(due).toMillis() + " ms behind; " + clients.size() + " clients, " + rpcs.size() + " rpcs; " + counts() + "; "
-                + links.inWords() + "; " + router.inWords(now));
+        LOG.fine(() -> now.minus(due).toMillis() + " ms behind; " + inWords());
         Duration next = now.plus(STATE_APART);
         at(next, () -> state(next));
     }
@@ -334,12 +354,19 @@
 
     private void closeIfDone(Client client) {
         if (client.isIdle() && !client.ending) {
-            client.ending = true;
-            clients.remove(client.number);
-            effects.finish(client.number);
+            farewell(client);
         }
     }
 
+    /** Nothing more is read or said; the other side has a moment to read what was. */
+    private void farewell(Client client) {
+        client.ending = true;
+        client.waiting.clear();
+        clients.remove(client.number);
+        effects.finish(client.number);
+        at(now.plus(terms.connectTimeout()), () -> effects.drop(client.number));
+    }
+
     /** A client that does not take its answer is waited for once more as long, and no longer. */
     private void stopIfDone() {
         if (phase == Phase.STOPPED || !isClosing() || !rpcs.values().stream().allMatch(r -> r.answered)) {
@@ -355,6 +382,12 @@
         }
     }
 
+    /** What is kept at this moment, all of which is bounded by what is open and listed. */
+    String inWords() {
+        return clients.size() + " clients, " + rpcs.size() + " rpcs, " + groups.size() + " servers, "
+                + dues.size() + " due; " + counts() + "; " + links.inWords() + "; " + router.inWords(now);
+    }
+
     private String counts() {
         return taken + " taken, " + served + " ok, " + pushedBack + " pushed back, " + aborted + " aborted, "
                 + left + " left by their clients";
@@ -363,22 +396,47 @@
     // ---- Clients
 
     void accepted(long number) {
-        Client client = new Client(number, now);
-        if (clients.size() >= mostClients) {
-            Client longest = null;
-            for (Client c : clients.values()) {
-                if (c.isIdle() && (longest == null || c.idleSince.compareTo(longest.idleSince) < 0)) {
-                    longest = c;
-                }
+        if (clients.size() >= mostClients && !makeRoom()) {
+            Client surplus = new Client(number, now);
+            effects.write(number, Replies.fatal("53300", "too many clients"));
+            farewell(surplus);
+            return;
+        }
+        clients.put(number, new Client(number, now));
+        at(now.plus(silence), () -> {
+            Client client = clients.get(number);
+            if (client != null && !client.asked) {
+                turnAway(client, "57P05", "nothing was asked in time");
             }
-            if (longest == null) {
-                effects.write(number, Replies.fatal("53300", "too many clients"));
-                effects.finish(number);
-                return;
+        });
+    }
+
+    /** Whoever has asked nothing yet goes first, the oldest of them, then the longest idle of the others. */
+    private boolean makeRoom() {
+        Client longest = null;
+        for (Client c : clients.values()) {
+            if (!c.asked) {
+                clients.remove(c.number);
+                effects.drop(c.number);
+                return true;
+            }
+            if (c.isIdle() && (longest == null || c.idleSince.compareTo(longest.idleSince) < 0)) {
+                longest = c;
             }
-            closeIfDone(longest);
         }
-        clients.put(number, client);
+        if (longest == null || now.minus(longest.idleSince).compareTo(silence) < 0) {
+            return false;
+        }
+        farewell(longest);
+        return true;
+    }
+
+    /** Its connection ends with this word, whatever else waits on it; what it had asked is given up. */
+    private void turnAway(Client client, String state, String text) {
+        complain("a client is turned away: " + text);
+        effects.write(client.number, Replies.fatal(state, text));
+        farewell(client);
+        leave(client);
     }
 
     void clientGone(long number) {
@@ -388,16 +446,22 @@
         }
         client.ending = true;
         client.waiting.clear();
-        Rpc rpc = client.rpc;
-        if (rpc != null && !rpc.answered) {
-            left++;
-            rpc.answered = true;
-            router.clientLeft(now, rpc.id);
-            forget(rpc);
-        }
+        leave(client);
         stopIfDone();
     }
 
+    private void leave(Client client) {
+        for (Turn turn = client.turns.poll(); turn != null; turn = client.turns.poll()) {
+            Rpc rpc = turn.rpc;
+            if (rpc != null && !rpc.answered) {
+                left++;
+                rpc.answered = true;
+                router.clientLeft(now, rpc.id);
+                forget(rpc);
+            }
+        }
+    }
+
     /** It said that it is done. */
     void clientEnded(long number) {
         effects.drop(number);
@@ -405,37 +469,57 @@
     }
 
     void encryptionAsked(long number) {
-        inTurn(number, client -> write(client, Replies.noEncryption()));
+        inTurn(number, turn -> answer(turn, Replies.noEncryption()));
     }
 
     void clientStarted(long number) {
-        inTurn(number, client -> write(client, Replies.welcome()));
+        inTurn(number, turn -> answer(turn, Replies.welcome()));
     }
 
     /** Answered as ready only once RPCs can be routed. */
     void askedNothing(long number) {
-        inTurn(number, client -> write(client, phase == Phase.SERVING ? Replies.emptyQuery()
+        heard(number);
+        inTurn(number, turn -> answer(turn, phase == Phase.SERVING ? Replies.emptyQuery()
                 : Replies.error("57P03", "not ready", null)));
     }
 
     void askedWrongly(long number, String state, String text) {
+        heard(number);
         complain("a client's statement is turned away: " + text);
-        inTurn(number, client -> write(client, Replies.error(state, text, null)));
+        inTurn(number, turn -> answer(turn, Replies.error(state, text, null)));
     }
 
     void clientBroke(long number, String state, String text) {
-        complain("a client's stream cannot be read on: " + text);
-        inTurn(number, client -> {
-            write(client, Replies.fatal(state, text));
-            client.ending = true;
-            clients.remove(number);
-            effects.finish(number);
-        });
+        Client client = clients.get(number);
+        if (client != null) {
+            turnAway(client, state, text);
+        }
+    }
+
+    /** A message has begun, which the client then has to end. */
+    void clientBegun(long number) {
+        Client client = clients.get(number);
+        if (client != null) {
+            int begun = client.words;
+            at(now.plus(silence), () -> {
+                if (clients.get(number) == client && client.words == begun && !client.unread) {
+                    turnAway(client, "08P01", "a message without an end");
+                }
+            });
+        }
     }
 
     /** @param arrived when its last byte was read, from which its time counts */
     void asked(long number, Statement statement, Duration arrived) {
-        inTurn(number, client -> begin(client, statement, arrived));
+        heard(number);
+        inTurn(number, turn -> begin(turn, statement, arrived));
+    }
+
+    private void heard(long number) {
+        Client client = clients.get(number);
+        if (client != null) {
+            client.asked = true;
+        }
     }
 
     void clientWritten(long number) {
@@ -452,36 +536,58 @@
         }
     }
 
-    private void inTurn(long number, Consumer<Client> step) {
+    private void inTurn(long number, Consumer<Turn> step) {
         Client client = clients.get(number);
         if (client == null) {
             return;
         }
-        client.waiting.add(() -> step.accept(client));
-        if (client.waiting.size() > WAITING_STATEMENTS && !client.unread) {
+        client.words++;
+        client.waiting.add(step);
+        if (client.waiting.size() > MOST_WAITING) {
+            turnAway(client, "54000", "too many statements at once");
+            return;
+        }
+        next(client);
+        if (!client.waiting.isEmpty() && !client.unread && !client.ending) {
             client.unread = true;
             effects.read(number, false);
         }
-        next(client);
     }
 
     private void next(Client client) {
-        if (client.rpc == null && !client.writing && !client.ending && !client.waiting.isEmpty()) {
-            client.waiting.poll().run();
-            if (client.unread && client.waiting.isEmpty()) {
-                client.unread = false;
-                effects.read(client.number, true);
-            }
+        while (client.turns.size() < SIDE_BY_SIDE && !client.ending && !client.waiting.isEmpty()) {
+            Turn turn = new Turn(client);
+            client.turns.add(turn);
+            client.waiting.poll().accept(turn);
+        }
+        writeOn(client);
+        if (client.unread && client.waiting.isEmpty() && !client.ending) {
+            client.unread = false;
+            effects.read(client.number, true);
         }
     }
 
-    /** One at a time: the next is begun when this is out, so a slow reader holds up only itself. */
-    private void write(Client client, ByteBuffer... parts) {
+    /** All answers whose turn it is go out as one; the next when these are out, lest a slow reader pile up. */
+    private void writeOn(Client client) {
+        Turn first = client.turns.peek();
+        if (client.writing || client.ending || first == null || first.answer == null) {
+            return;
+        }
+        List<ByteBuffer> parts = new ArrayList<>();
+        for (Turn t = first; t != null && t.answer != null; t = client.turns.peek()) {
+            parts.addAll(List.of(t.answer));
+            client.turns.poll();
+        }
         client.writing = true;
-        effects.write(client.number, parts);
+        effects.write(client.number, parts.toArray(new ByteBuffer[0]));
+    }
+
+    private void answer(Turn turn, ByteBuffer... parts) {
+        turn.answer = parts;
+        writeOn(turn.client);
     }
 
-    private void begin(Client client, Statement statement, Duration arrived) {
+    private void begin(Turn turn, Statement statement, Duration arrived) {
         int method = terms.methods().indexOf(statement.method());
         RpcId id = new RpcId(statement.id());
         GroupId group = new GroupId(statement.group());
@@ -500,18 +606,17 @@
         }
         if (fault != null) {
             complain("a client's statement is turned away: " + fault);
-            write(client, Replies.error("22023", fault, null));
+            answer(turn, Replies.error("22023", fault, null));
             return;
         }
         Duration patience = arrived.plusMillis(statement.waitMillis()).minus(now);
-        take(client, statement, id, method, group, patience.isNegative() ? Duration.ZERO : patience);
+        take(turn, statement, id, method, group, patience.isNegative() ? Duration.ZERO : patience);
     }
 
-    private void take(Client client, Statement statement, RpcId id, int method, GroupId group,
+    private void take(Turn turn, Statement statement, RpcId id, int method, GroupId group,
             Duration patience) {
-        Rpc rpc = new Rpc(id, client, statement, now.plus(patience));
+        Rpc rpc = new Rpc(id, turn, statement, now.plus(patience));
         taken++;
-        client.rpc = rpc;
         rpcs.put(id, rpc);
         Need need = terms.service().methods().get(method).need();
         boolean inSession = need == Need.WRITE || need == Need.SESSION;
@@ -523,8 +628,9 @@
 
     private void answer(Rpc rpc, ByteBuffer... parts) {
         rpc.answered = true;
-        rpc.client.rpc = null;
-        write(rpc.client, parts);
+        answer(rpc.turn, parts);
+        // The router is in the middle of something.
+        soon(() -> next(rpc.turn.client));
     }
 
     private void forget(Rpc rpc) {
--- a/src/main/java/weldcross/gateway/GatheringProcessor.java
+++ b/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -1,6 +1,7 @@
 package weldcross.gateway;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
@@ -71,6 +72,19 @@
         }
     }
 
+    /** True if all of it went out; what did not is what the parts have left. */
+    static boolean writeNow(IoSession session, ByteBuffer... parts) {
+        SocketChannel channel = (SocketChannel) session.getAttribute(CHANNEL);
+        try {
+            if (channel != null) {
+                channel.write(parts);
+            }
+        } catch (IOException e) {
+            // Ended by the other side, which is told where it is read.
+        }
+        return !parts[parts.length - 1].hasRemaining();
+    }
+
     @Override
     protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
         return buffer instanceof GatheredBuffer gathered
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -19,7 +19,6 @@
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramAcceptor;
-import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import weldcross.discovery.HttpReader;
 import weldcross.peers.PeerWord;
@@ -33,6 +32,10 @@
 
     /** What reads one connection's stream, on MINA's thread. */
     private abstract static class Stream {
+        /** Messages asked for that are not out, and whether none comes after them. */
+        final AtomicInteger unwritten = new AtomicInteger();
+        volatile boolean last;
+
         abstract void opened();
 
         abstract void read(ByteBuffer in) throws HttpReader.Malformed;
@@ -60,13 +63,13 @@
     private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
     private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
     private final GatheringProcessor processor;
-    private final NioSocketAcceptor acceptor;
+    private final CappedAcceptor acceptor;
     private final NioSocketConnector connector;
     private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
     private NioDatagramAcceptor peers;
     private InetSocketAddress peersFrom;
 
-    MinaEffects(Loop loop, Supplier<Duration> clock) {
+    MinaEffects(Loop loop, Supplier<Duration> clock, int mostClients) {
         this.loop = loop;
         this.clock = clock;
         ExecutorService threads = Executors.newCachedThreadPool(task -> {
@@ -75,7 +78,7 @@
             return thread;
         });
         processor = new GatheringProcessor(threads);
-        acceptor = new NioSocketAcceptor(threads, processor);
+        acceptor = new CappedAcceptor(threads, processor, mostClients);
         connector = new NioSocketConnector(threads, processor);
         set(acceptor.getSessionConfig());
         set(connector.getSessionConfig());
@@ -89,6 +92,12 @@
                 session.setAttribute(STREAM, client(number));
                 sessions.put(number, session);
             }
+
+            @Override
+            public void sessionClosed(IoSession session) {
+                acceptor.ended();
+                super.sessionClosed(session);
+            }
         });
         connector.setHandler(new Handler());
     }
@@ -227,8 +236,15 @@
     public void write(long connection, ByteBuffer... parts) {
         IoSession session = sessions.get(connection);
         if (session != null) {
-            ((Stream) session.getAttribute(STREAM)).writing();
-            session.write(new GatheredBuffer(parts));
+            Stream stream = (Stream) session.getAttribute(STREAM);
+            stream.writing();
+            // Where nothing else waits to go out no other thread has to be woken for it.
+            if (stream.unwritten.get() == 0 && GatheringProcessor.writeNow(session, parts)) {
+                stream.written();
+            } else {
+                stream.unwritten.incrementAndGet();
+                session.write(new GatheredBuffer(parts));
+            }
         }
     }
 
@@ -264,7 +280,17 @@
     public void finish(long connection) {
         IoSession session = sessions.get(connection);
         if (session != null) {
-            session.closeOnFlush();
+            Stream stream = (Stream) session.getAttribute(STREAM);
+            session.suspendRead();
+            stream.last = true;
+            endIfOut(session, stream);
+        }
+    }
+
+    /** What came in unread would, at a close, take back what was written last; so only sending ends here. */
+    private static void endIfOut(IoSession session, Stream stream) {
+        if (stream.last && stream.unwritten.get() == 0) {
+            GatheringProcessor.endSending(session);
         }
     }
 
@@ -363,7 +389,10 @@
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            stream(session).written();
+            Stream stream = stream(session);
+            stream.unwritten.decrementAndGet();
+            endIfOut(session, stream);
+            stream.written();
         }
 
         @Override
--- a/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/src/main/java/weldcross/gateway/ServerLinks.java
@@ -23,7 +23,7 @@
         final ServerId server;
         final InetSocketAddress address;
         Question question;
-        boolean up, begun;
+        boolean reached, up, begun;
         int unwritten;
         /** Counts how far it has come: what was expected of an earlier step is expected no more. */
         int step, doubted = -1;
@@ -50,6 +50,7 @@
     private final Map<Long, Link> links = new HashMap<>();
     /** All that are idle, the longest idle first. */
     private final LinkedHashSet<Link> resting = new LinkedHashSet<>();
+    private boolean tiring;
 
     /** @param idleClose after which a server closes; a connection is given up here before that */
     ServerLinks(Gateway gateway, Effects effects, Duration connectTimeout, Duration idleClose, int most) {
@@ -136,6 +137,7 @@
         }
         if (!link.up) {
             effects.drop(link.number);
+            link.reached = false;
             gone(link.number, null);
         } else if (link.begun) {
             spoilt(link.number, "an answer that does not end");
@@ -156,6 +158,7 @@
         Link link = links.get(number);
         if (link != null) {
             link.step++;
+            link.reached = true;
             write(link, Replies.startup());
         } else {
             // Given up as it came up: nobody would ever end it.
@@ -247,9 +250,11 @@
                 ? outcome(rest) : null;
         if (told != null && (link.up || told == Outcome.NO_ROOM)) {
             end(question, told, rest);
+        } else if (link.up && link.unwritten == 0) {
+            end(question, Outcome.CUT, null);
         } else {
-            // Turned away before it was welcomed, for whatever reason, the question was never asked.
-            end(question, link.up && link.unwritten == 0 ? Outcome.CUT : Outcome.NO_ROUTE, null);
+            // Taken up and ended before its welcome: whoever did so lives, and the question was never asked.
+            end(question, link.reached && !link.up ? Outcome.NO_ROOM : Outcome.NO_ROUTE, null);
         }
     }
 
@@ -300,27 +305,24 @@
             remove(link);
             return;
         }
-        boolean first = link.idleSince == null;
         link.idleSince = gateway.now();
         idle.computeIfAbsent(link.server, s -> new ArrayDeque<>()).addFirst(link);
         resting.add(link);
-        if (first) {
-            gateway.at(link.idleSince.plus(idleFor), () -> tire(link));
-        }
+        tireLater();
     }
 
-    /** One due time a connection, put off as long as it is used. */
-    private void tire(Link link) {
-        if (!links.containsKey(link.number)) {
-            return;
-        }
-        Duration until = link.idleSince.plus(idleFor);
-        if (!resting.contains(link)) {
-            gateway.at(gateway.now().plus(idleFor), () -> tire(link));
-        } else if (until.compareTo(gateway.now()) > 0) {
-            gateway.at(until, () -> tire(link));
-        } else {
-            remove(link);
+    /** One due time for all that rest, as connections come and go by far more often than they tire. */
+    private void tireLater() {
+        if (!tiring && !resting.isEmpty()) {
+            tiring = true;
+            gateway.at(resting.iterator().next().idleSince.plus(idleFor), () -> {
+                tiring = false;
+                while (!resting.isEmpty() && gateway.now().compareTo(resting.iterator().next().idleSince
+                        .plus(idleFor)) >= 0) {
+                    remove(resting.iterator().next());
+                }
+                tireLater();
+            });
         }
     }
 
--- a/src/main/java/weldcross/gateway/Streams.java
+++ b/src/main/java/weldcross/gateway/Streams.java
@@ -41,6 +41,11 @@
                 loop.post(g -> g.askedWrongly(number, state, text));
             }
 
+            @Override
+            public void begun() {
+                loop.post(g -> g.clientBegun(number));
+            }
+
             @Override
             public void broke(String state, String text) {
                 loop.post(g -> g.clientBroke(number, state, text));
--- a/src/main/java/weldcross/pgwire/ClientReader.java
+++ b/src/main/java/weldcross/pgwire/ClientReader.java
@@ -18,6 +18,9 @@
         /** A query that is not served; the connection goes on. */
         void askedWrongly(String state, String text);
 
+        /** A message has begun, and the rest of it is still to come. */
+        void begun();
+
         /** The stream cannot be read on. */
         void broke(String state, String text);
 
@@ -30,7 +33,7 @@
 
     private final FrameReader frames = new FrameReader(true);
     private final Sink sink;
-    private boolean over;
+    private boolean over, begun;
 
     public ClientReader(Sink sink) {
         this.sink = sink;
@@ -41,6 +44,10 @@
             if (!over) {
                 frames.feed(in, this::message);
             }
+            if (!over && !begun && frames.isWithin()) {
+                begun = true;
+                sink.begun();
+            }
         } catch (Malformed e) {
             over = true;
             sink.broke(e.state(), e.getMessage());
@@ -48,6 +55,7 @@
     }
 
     private void message(byte type, ByteBuffer whole) throws Malformed {
+        begun = false;
         if (over) {
             return;
         }
--- a/src/main/java/weldcross/pgwire/FrameReader.java
+++ b/src/main/java/weldcross/pgwire/FrameReader.java
@@ -10,6 +10,7 @@
 
     /** The largest value is 64 KiB, in hex twice that, with a head. */
     public static final int LONGEST = 2 * 65_536 + 8_192;
+    private static final int LONGEST_START = 10_000;
     /** Type of the messages before the start of a session, which carry none. */
     public static final byte UNTYPED = 0;
 
@@ -91,7 +92,7 @@
 
     private int size(ByteBuffer from, int at, Sink sink) throws Malformed {
         int length = from.getInt(at + headSize() - 4);
-        if (length < (untyped ? 8 : 4) || length > LONGEST) {
+        if (length < (untyped ? 8 : 4) || length > (untyped ? LONGEST_START : LONGEST)) {
             throw new Malformed("08P01", "message of length " + length);
         }
         sink.head(untyped ? UNTYPED : from.get(at), length);
--- a/src/test/java/weldcross/pgwire/PgWireTest.java
+++ b/src/test/java/weldcross/pgwire/PgWireTest.java
@@ -28,6 +28,7 @@
     /** What a client said, in words. */
     private static final class Heard implements ClientReader.Sink {
         final List<String> words = new ArrayList<>();
+        int begun;
 
         @Override
         public void encryptionAsked() {
@@ -55,6 +56,11 @@
             words.add("wrong " + state);
         }
 
+        @Override
+        public void begun() {
+            begun++;
+        }
+
         @Override
         public void broke(String state, String text) {
             words.add("broke " + state);
@@ -261,6 +267,46 @@
         assertThrows(Malformed.class, () -> Statement.read(ByteBuffer.wrap(query(write(hex)))));
     }
 
+    @Test
+    void aMessageWithoutItsEndIsToldOnce() {
+        Heard heard = new Heard();
+        ClientReader reader = new ClientReader(heard);
+        reader.feed(ByteBuffer.wrap(start()));
+        assertEquals(0, heard.begun);
+        for (int k = 0; k < 9; k++) {
+            reader.feed(ByteBuffer.wrap(query(READ), k, 1));
+        }
+        assertEquals(1, heard.begun);
+        reader.feed(ByteBuffer.wrap(query(READ), 9, query(READ).length - 9));
+        reader.feed(ByteBuffer.wrap(query(READ), 0, 50));
+        assertEquals(2, heard.begun);
+    }
+
+    /** Whatever a client sends, each statement is read as it is, or an error tells that it cannot be. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void noiseIsNeverTakenForAStatement(long seed) {
+        SplittableRandom dice = new SplittableRandom(seed);
+        byte[] good = bytes(start(), query(READ), query(write("00ff")), query(READ));
+        for (int life = 0; life < 3000; life++) {
+            byte[] stream = good.clone();
+            for (int n = dice.nextInt(3); n >= 0; n--) {
+                int at = dice.nextInt(stream.length);
+                if (dice.nextInt(3) == 0) {
+                    ByteBuffer.wrap(stream).putInt(Math.min(at, stream.length - 4), dice.nextInt());
+                } else if (dice.nextBoolean()) {
+                    stream[at] = (byte) dice.nextInt(256);
+                } else {
+                    stream = bytes(Arrays.copyOf(stream, at), Arrays.copyOfRange(good, dice.nextInt(good.length),
+                            good.length));
+                }
+            }
+            for (String word : hear(stream, dice)) {
+                assertTrue(word.matches("started|encryption|nothing|ended|(wrong|broke) \\w{5}|asked .*"), word);
+            }
+        }
+    }
+
     @Test
     void whatCannotBeReadOnEndsTheStream() {
         byte[] tooLong = ByteBuffer.allocate(5).put((byte) 'Q').putInt(FrameReader.LONGEST + 1).array();
