Clients part only once all that was read is told; surplus ones are closed without a word

Change: the acceptor closes what is beyond its limit before anything is read or said. A client to which nothing is owed is parted with in two steps: it is read no more, and once all that was read is told it goes on if it said something, or ends at once. Silent clients, idle ones and those of a stop take this one way.

--- a/src/main/java/weldcross/gateway/CappedAcceptor.java
+++ b/src/main/java/weldcross/gateway/CappedAcceptor.java
@@ -1,6 +1,5 @@
 package weldcross.gateway;
 
-import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
@@ -8,11 +7,12 @@
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
-import weldcross.pgwire.Replies;
 
 /**
- * Accepts clients up to a number of open connections. Those beyond it are told so and closed where they are
- * accepted: they cost no session, no event and no descriptor, however fast they come again.
+ * Accepts clients up to a number of open connections. Those beyond it are closed where they are accepted, before
+ * anything of them is read: they cost no session, no event and no descriptor, however fast they come again. They
+ * are told nothing: a word that came before their first request would be taken for its answer, and what they
+ * sent meanwhile takes it back on its way.
  */
 final class CappedAcceptor extends NioSocketAcceptor {
 
@@ -33,12 +33,9 @@
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle)
             throws Exception {
         if (open.get() >= most) {
-            try (SocketChannel surplus = handle.accept()) {
-                if (surplus != null) {
-                    ByteBuffer words = Replies.fatal("53300", "too many clients");
-                    surplus.configureBlocking(false);
-                    surplus.write(words);
-                }
+            SocketChannel surplus = handle.accept();
+            if (surplus != null) {
+                surplus.close();
             }
             return null;
         }
--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -52,9 +52,10 @@
     private static final Duration STILL_COMING = Duration.ofMillis(450);
     /** Statements of one connection that are worked at a time; with more waiting no more of it is read. */
     private static final int SIDE_BY_SIDE = 16;
-    /** Statements that one read may bring beyond these; a client with more has no use for their answers. */
+    /** Of those that one read may bring beyond these, more are not begun at all. */
     private static final int MOST_WAITING = 64;
 
+    private static final ByteBuffer FAILED = Replies.error("58000", "failed, and may have run", null);
     private static final Duration STATE_APART = Duration.ofSeconds(1);
     private static final BigDecimal MOST_NANOS = BigDecimal.valueOf(Long.MAX_VALUE);
 
@@ -66,7 +67,7 @@
         /** What it asked that is not begun, and what is begun and has not gone out. */
         final ArrayDeque<Consumer<Turn>> waiting = new ArrayDeque<>(2);
         final ArrayDeque<Turn> turns = new ArrayDeque<>(2);
-        boolean writing, ending, unread, asked;
+        boolean writing, ending, parting, unread, asked;
         /** Counts what it has said: a message begun earlier is waited for no more. */
         int words;
         Duration idleSince;
@@ -215,6 +216,8 @@
     private Duration now = Duration.ZERO;
     private Duration stoppingAt, answeredAt;
     private long lastNumber;
+    /** Clients of which no more is read, as nothing is owed to them. */
+    private int parting;
     private long taken, served, pushedBack, aborted, left;
 
     /**
@@ -353,20 +356,55 @@
     }
 
     private void closeIfDone(Client client) {
-        if (client.isIdle() && !client.ending) {
-            farewell(client);
+        if (client.isIdle()) {
+            part(client);
+        }
+    }
+
+    // ---- Ends of clients' connections; docs/architecture.md has the table
+
+    /**
+     * Nothing is owed to it. What it says at this same moment may have been read already: no more is, and only
+     * when all that was is told does the connection end, or go on. What is not read then is taken back by its
+     * close, so that the client knows that nobody has it.
+     */
+    private void part(Client client) {
+        if (!client.parting) {
+            client.parting = true;
+            parting++;
+            effects.read(client.number, false);
+            effects.hear(client.number);
+        }
+    }
+
+    private void partIfQuiet(Client client) {
+        client.parting = false;
+        parting--;
+        if (client.isIdle()) {
+            remove(client);
+            effects.drop(client.number);
+            stopIfDone();
+        } else {
+            readOn(client);
+            awaitFirst(client);
         }
     }
 
-    /** Nothing more is read or said; the other side has a moment to read what was. */
+    /** It was told why: nothing more is read or said, and it has a moment to read that. */
     private void farewell(Client client) {
-        client.ending = true;
-        client.waiting.clear();
-        clients.remove(client.number);
+        remove(client);
         effects.finish(client.number);
         at(now.plus(terms.connectTimeout()), () -> effects.drop(client.number));
     }
 
+    private void remove(Client client) {
+        clients.remove(client.number);
+        parting -= client.parting ? 1 : 0;
+        client.parting = false;
+        client.ending = true;
+        client.waiting.clear();
+    }
+
     /** A client that does not take its answer is waited for once more as long, and no longer. */
     private void stopIfDone() {
         if (phase == Phase.STOPPED || !isClosing() || !rpcs.values().stream().allMatch(r -> r.answered)) {
@@ -396,56 +434,69 @@
     // ---- Clients
 
     void accepted(long number) {
-        if (clients.size() >= mostClients && !makeRoom()) {
-            Client surplus = new Client(number, now);
+        Client client = new Client(number, now);
+        if (clients.size() - parting >= mostClients && !makeRoom()) {
             effects.write(number, Replies.fatal("53300", "too many clients"));
-            farewell(surplus);
+            farewell(client);
             return;
         }
-        clients.put(number, new Client(number, now));
-        at(now.plus(silence), () -> {
-            Client client = clients.get(number);
-            if (client != null && !client.asked) {
-                turnAway(client, "57P05", "nothing was asked in time");
-            }
-        });
+        clients.put(number, client);
+        awaitFirst(client);
+    }
+
+    /** Whoever asks nothing in time holds a place for nothing. */
+    private void awaitFirst(Client client) {
+        if (!client.asked) {
+            at(now.plus(silence), () -> {
+                if (!client.asked && !client.ending) {
+                    part(client);
+                }
+            });
+        }
     }
 
     /** Whoever has asked nothing yet goes first, the oldest of them, then the longest idle of the others. */
     private boolean makeRoom() {
         Client longest = null;
         for (Client c : clients.values()) {
-            if (!c.asked) {
-                clients.remove(c.number);
-                effects.drop(c.number);
+            if (!c.asked && !c.parting) {
+                part(c);
                 return true;
             }
-            if (c.isIdle() && (longest == null || c.idleSince.compareTo(longest.idleSince) < 0)) {
+            if (c.isIdle() && !c.parting && (longest == null || c.idleSince.compareTo(longest.idleSince) < 0)) {
                 longest = c;
             }
         }
         if (longest == null || now.minus(longest.idleSince).compareTo(silence) < 0) {
             return false;
         }
-        farewell(longest);
+        part(longest);
         return true;
     }
 
-    /** Its connection ends with this word, whatever else waits on it; what it had asked is given up. */
+    /**
+     * Its connection ends with this word, whatever else waits on it: what it had asked gets its answer or, where
+     * there is none yet, an error, so that no RPC is left without one.
+     */
     private void turnAway(Client client, String state, String text) {
         complain("a client is turned away: " + text);
-        effects.write(client.number, Replies.fatal(state, text));
+        List<ByteBuffer> parts = new ArrayList<>();
+        for (Turn turn : client.turns) {
+            parts.addAll(turn.answer != null ? List.of(turn.answer) : List.of(FAILED.duplicate()));
+        }
+        client.waiting.forEach(w -> parts.add(Replies.error("53300", "not begun", null)));
+        parts.add(Replies.fatal(state, text));
+        effects.write(client.number, parts.toArray(new ByteBuffer[0]));
         farewell(client);
         leave(client);
     }
 
     void clientGone(long number) {
-        Client client = clients.remove(number);
+        Client client = clients.get(number);
         if (client == null) {
             return;
         }
-        client.ending = true;
-        client.waiting.clear();
+        remove(client);
         leave(client);
         stopIfDone();
     }
@@ -478,13 +529,13 @@
 
     /** Answered as ready only once RPCs can be routed. */
     void askedNothing(long number) {
-        heard(number);
+        hasAsked(number);
         inTurn(number, turn -> answer(turn, phase == Phase.SERVING ? Replies.emptyQuery()
                 : Replies.error("57P03", "not ready", null)));
     }
 
     void askedWrongly(long number, String state, String text) {
-        heard(number);
+        hasAsked(number);
         complain("a client's statement is turned away: " + text);
         inTurn(number, turn -> answer(turn, Replies.error(state, text, null)));
     }
@@ -511,17 +562,27 @@
 
     /** @param arrived when its last byte was read, from which its time counts */
     void asked(long number, Statement statement, Duration arrived) {
-        heard(number);
+        hasAsked(number);
         inTurn(number, turn -> begin(turn, statement, arrived));
     }
 
-    private void heard(long number) {
+    private void hasAsked(long number) {
         Client client = clients.get(number);
         if (client != null) {
             client.asked = true;
         }
     }
 
+    /** All that came in until {@link Effects#hear} was asked for has been told. */
+    void heard(long number) {
+        Client client = clients.get(number);
+        if (client != null && client.parting) {
+            partIfQuiet(client);
+        } else {
+            links.heard(number);
+        }
+    }
+
     void clientWritten(long number) {
         Client client = clients.get(number);
         if (client == null || !client.writing) {
@@ -542,11 +603,8 @@
             return;
         }
         client.words++;
-        client.waiting.add(step);
-        if (client.waiting.size() > MOST_WAITING) {
-            turnAway(client, "54000", "too many statements at once");
-            return;
-        }
+        client.waiting.add(client.waiting.size() < MOST_WAITING ? step
+                : turn -> answer(turn, Replies.error("54000", "too many statements at once", null)));
         next(client);
         if (!client.waiting.isEmpty() && !client.unread && !client.ending) {
             client.unread = true;
@@ -563,6 +621,12 @@
         writeOn(client);
         if (client.unread && client.waiting.isEmpty() && !client.ending) {
             client.unread = false;
+            readOn(client);
+        }
+    }
+
+    private void readOn(Client client) {
+        if (!client.unread && !client.parting) {
             effects.read(client.number, true);
         }
     }
@@ -769,7 +833,7 @@
 
     @Override
     public void abort(RpcId id) {
-        if (giveUp(id, Replies.error("58000", "failed, and may have run", null))) {
+        if (giveUp(id, FAILED.duplicate())) {
             aborted++;
         }
     }
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -260,7 +260,7 @@
 
     @Override
     public void hear(long connection) {
-        processor.afterReading(() -> loop.post(g -> g.links().heard(connection)));
+        processor.afterReading(() -> loop.post(g -> g.heard(connection)));
     }
 
     @Override
@@ -271,7 +271,10 @@
         }
         IoSession session = sessions.remove(connection);
         if (session != null) {
-            GatheringProcessor.endSending(session);
+            // A second call-out must not overtake the end of the first; clients have nothing that could.
+            if (connection < 0) {
+                GatheringProcessor.endSending(session);
+            }
             session.closeNow();
         }
     }
--- a/src/test/java/weldcross/gateway/ServiceTest.java
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -75,6 +76,8 @@
     /** A primary that keeps what is written, and reports itself at the present. */
     private static final class Primary extends StandIn {
         final Map<String, String> rows = new ConcurrentHashMap<>();
+        /** While it is more than zero no write is answered. */
+        volatile CountDownLatch stuck = new CountDownLatch(0);
 
         Primary() throws IOException {
         }
@@ -91,6 +94,7 @@
                     value = "x0=" + System.currentTimeMillis() / 1000.0 + ",x1=1";
                 } else if (asked.startsWith("INSERT")) {
                     value = asked.split("\\\\x|'\\) ")[1];
+                    awaitLatch(stuck);
                     rows.put(asked.split("'")[1], value);
                 } else {
                     value = rows.getOrDefault(asked.split("'")[1], "");
@@ -103,6 +107,14 @@
         }
     }
 
+    private static void awaitLatch(CountDownLatch latch) throws IOException {
+        try {
+            latch.await(20, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private static final class Discovery extends StandIn {
         private final String list;
 
@@ -264,6 +276,62 @@
         service.stop();
     }
 
+    /**
+     * Found as RPCs lost on sockets: whom the acceptor closes is told nothing, as a word from it crosses their first
+     * statement and is taken back by what comes in unread; those with an RPC open keep their place.
+     */
+    @Test
+    void whoIsClosedAtAcceptingIsToldNothing() throws Exception {
+        Primary primary = new Primary();
+        Service service = new Service(GatewayTerms.of(NamedValues.ofJson(text(discovery(primary)).replace("1024",
+                "64").getBytes(StandardCharsets.UTF_8))));
+        CompletableFuture.supplyAsync(service::serve);
+        InetSocketAddress at = service.listening().get(20, TimeUnit.SECONDS);
+        List<Client> busy = new ArrayList<>();
+        List<Socket> surplus = new ArrayList<>();
+        primary.stuck = new CountDownLatch(1);
+        try {
+            busy.add(new Client(at));
+            while (!busy.get(0).ask("").get(0).startsWith("I")) {
+                Thread.onSpinWait();
+            }
+            for (int k = 0; k < 28; k++) {
+                Client client = k == 0 ? busy.get(0) : new Client(at);
+                client.send(Replies.query("INSERT INTO kv (name, content) VALUES ('k', '\\x0f') RETURNING content"
+                        + " /* id=b" + k + ",c=entry-write,d=20000,cluster=0 */"));
+                if (k > 0) {
+                    busy.add(client);
+                }
+            }
+            int untold = 0;
+            for (int k = 0; k < 200; k++) {
+                Socket each = new Socket(at.getAddress(), at.getPort());
+                surplus.add(each);
+                each.setSoTimeout(5000);
+                try {
+                    each.getOutputStream().write(Replies.startup().array());
+                    untold += each.getInputStream().read() < 0 ? 1 : 0;
+                } catch (IOException e) {
+                    untold++;
+                }
+            }
+            assertTrue(untold > 0, "all were told something");
+            primary.stuck.countDown();
+            for (Client each : busy) {
+                each.answer();
+            }
+        } finally {
+            primary.stuck.countDown();
+            for (Socket each : surplus) {
+                each.close();
+            }
+            for (Client each : busy) {
+                each.close();
+            }
+        }
+        service.stop();
+    }
+
     /** A process of its own, told by SIGHUP to read its terms, faulty ones first, and ended by SIGTERM. */
     @Test
     void aProcessReadsItsTermsAgainAndExitsWithZeroWhenAskedToEnd(@TempDir Path folder) throws Exception {
