Who leaves the list is remembered as long as it may come back cold

A server that dies, leaves and is listed again came back as a stranger: no doubt, so that it was called out to without a question.

Change: Router keeps such a server for its warming time, out of use; its host forgets address and connections at once as before.

Tests: who left in doubt comes back in doubt; an answer just behind the news of an end; the socket test of the acceptor has its busy clients hold their places first, as it failed one time in six.

--- a/src/main/java/weldcross/routing/Router.java
+++ b/src/main/java/weldcross/routing/Router.java
@@ -75,7 +75,7 @@
         final Group group;
         final ZoneId zone;
         boolean listed, draining, probing, doubted;
-        Duration start, toldAt, coldSince, chilledAt, coldBefore, pos, primaryAsOf, probedAt, trialAt;
+        Duration start, toldAt, coldSince, chilledAt, coldBefore, goneAt, pos, primaryAsOf, probedAt, trialAt;
         int reads, strikes, deaf;
         /** Among equals the least goes first; most picks of a gateway that sees little are among equals. */
         double order;
@@ -187,6 +187,7 @@
             return;
         }
         seat.listed = true;
+        seat.goneAt = null;
         // Where only draining binds, a list that is wrong for a while does not take it back.
         boolean same = !terms.goneBinds() && (start == null || start.equals(seat.start));
         seat.draining = condition == Condition.DRAINING || seat.draining && same;
@@ -253,7 +254,7 @@
             learn(now, seat, primary ? asOf : pos, primary, true);
         }
         judge(now, seat, callOut, outcome, took);
-        seenAlive(seat, aliveSince);
+        seenAlive(now, seat, aliveSince);
         if (ended && !rpc.answered) {
             close(rpc, outcome == Outcome.OK);
         }
@@ -280,7 +281,7 @@
     public void probeEnded(Duration now, ServerId server, Outcome outcome, Duration aliveSince) {
         Seat seat = seats.get(server);
         seat.probing = false;
-        seenAlive(seat, aliveSince);
+        seenAlive(now, seat, aliveSince);
         if (outcome == Outcome.OK) {
             seat.doubted &= seat.deaf == 0;
             seat.deaf = 0;
@@ -346,14 +347,19 @@
             floor = old ? later(floor, token) : floor;
             return old;
         });
-        // Who left the list is known no more, once nothing of it is out: successors come all day.
-        seats.values().removeIf(s -> !s.listed && s.out.isEmpty() && !s.probing && forget(s));
+        // Who left the list is known no more, as successors come all day; but not while it may come back cold, or
+        // what made it doubted is forgotten with it.
+        seats.values().removeIf(s -> !s.listed && s.out.isEmpty() && !s.probing && forget(now, s));
     }
 
-    private boolean forget(Seat seat) {
-        host.forget(seat.id);
-        seat.group.primary = seat.group.primary == seat ? null : seat.group.primary;
-        return seat.group.seats.remove(seat);
+    private boolean forget(Duration now, Seat seat) {
+        if (seat.goneAt == null) {
+            seat.goneAt = now;
+            host.forget(seat.id);
+        }
+        boolean over = now.minus(seat.goneAt).compareTo(terms.coldFor()) >= 0;
+        seat.group.primary = over && seat.group.primary == seat ? null : seat.group.primary;
+        return over && seat.group.seats.remove(seat);
     }
 
     public void dueReached(Duration now) {
@@ -809,8 +815,10 @@
     }
 
     /** Who answers on what was open before it was thought to be gone is the process that it was, and no colder. */
-    private void seenAlive(Seat seat, Duration since) {
-        if (since != null && seat.chilledAt != null && since.compareTo(seat.coldSince) < 0) {
+    private void seenAlive(Duration now, Seat seat, Duration since) {
+        if (since != null && seat.chilledAt != null && since.compareTo(seat.coldSince) < 0
+                // What it said before its end may come in just behind the news of that.
+                && now.minus(seat.coldSince).compareTo(BRIEF_HOLD) > 0) {
             boolean throughout = since.compareTo(seat.chilledAt) < 0;
             seat.coldSince = throughout ? seat.coldBefore : since;
             seat.chilledAt = throughout ? null : seat.chilledAt;
--- a/src/test/java/weldcross/gateway/ServiceTest.java
+++ b/src/test/java/weldcross/gateway/ServiceTest.java
@@ -297,6 +297,8 @@
             }
             for (int k = 0; k < 28; k++) {
                 Client client = k == 0 ? busy.get(0) : new Client(at);
+                // Whoever has asked something keeps its place.
+                client.ask("");
                 client.send(Replies.query("INSERT INTO kv (name, content) VALUES ('k', '\\x0f') RETURNING content"
                         + " /* id=b" + k + ",c=entry-write,d=20000,cluster=0 */"));
                 if (k > 0) {
--- a/src/test/java/weldcross/routing/RouterTest.java
+++ b/src/test/java/weldcross/routing/RouterTest.java
@@ -394,9 +394,31 @@
             rig.serve(Duration.ZERO);
         }
         assertEquals(997, rig.forgotten);
+        rig.wait(rig.terms.coldFor().plus(ms(300)));
         assertEquals(3, rig.router.inWords(rig.now).split("s\\d+ ").length - 1, rig.router.inWords(rig.now));
     }
 
+    /** Found in the simulator: one that died, left the list and came back was called out to without a question. */
+    @Test
+    void whoLeftInDoubtComesBackInDoubt() {
+        Rig rig = Rig.settled();
+        rig.end(rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)), Outcome.NO_ROUTE);
+        rig.wait(ms(100));
+        rig.server(0).told = Condition.GONE;
+        rig.list();
+        List.copyOf(rig.probes).stream().distinct().forEach(id -> rig.router.probeEnded(rig.now, id,
+                id.equals(rig.server(0).id) ? Outcome.TIMED_OUT : Outcome.OK, null));
+        rig.wait(ms(1000));
+        assertEquals(1, rig.forgotten, "the host has nothing to keep");
+        rig.server(0).told = Condition.ON;
+        rig.probes.clear();
+        rig.list();
+        assertTrue(isCold(rig, 0) && rig.router.inWords(rig.now).contains("doubted"), rig.router.inWords(rig.now));
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        assertEquals(0, rig.rpcs.get(write).sent);
+        assertTrue(rig.probes.contains(rig.server(0).id), "asked before an RPC is risked");
+    }
+
     /** Rings multiplied once: each left over from an earlier due time asked for another. */
     @Test
     void aRingLeftOverAsksForNoOther() {
@@ -444,12 +466,24 @@
         rig.wait(ms(1));
         rig.end(rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)), Outcome.NO_ROUTE);
         assertTrue(isCold(rig, 0));
-        rig.wait(ms(1));
+        rig.wait(ms(31));
         rig.end(before, Outcome.OK);
         assertFalse(isCold(rig, 0));
         assertFalse(rig.router.inWords(rig.now).contains("doubted"));
     }
 
+    /** Found in the simulator: its last answer came in behind the news of its end, and it was pushed over. */
+    @Test
+    void whatAServerSaidBeforeItsEndDoesNotProveThatItLives() {
+        Rig rig = Rig.settled();
+        Rig.Sent before = rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO));
+        rig.wait(ms(1));
+        rig.end(rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO)), Outcome.NO_ROUTE);
+        rig.wait(ms(5));
+        rig.end(before, Outcome.OK);
+        assertTrue(isCold(rig, 0));
+    }
+
     /** The other way: a process that nobody saw start again is spared, though it answers. */
     @Test
     void whoAnswersOnNewConnectionsAloneMayHaveStartedAgain() {
