An idle client that is parted with finds a word that it may come again

Change: an idle client that has asked before is told 57P03 when it is parted with, and has a dial's time to read it; a stop waits for that.

--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -56,6 +56,7 @@
     private static final int MOST_WAITING = 64;
 
     private static final ByteBuffer FAILED = Replies.error("58000", "failed, and may have run", null);
+    private static final ByteBuffer ENDS = Replies.fatal("57P03", "this connection ends, nothing was run");
     private static final Duration STATE_APART = Duration.ofSeconds(1);
     private static final BigDecimal MOST_NANOS = BigDecimal.valueOf(Long.MAX_VALUE);
 
@@ -218,6 +219,8 @@
     private long lastNumber;
     /** Clients of which no more is read, as nothing is owed to them. */
     private int parting;
+    /** Of those that were told why their connections end, how many may still read it. */
+    private int leaving;
     private long taken, served, pushedBack, aborted, left;
 
     /**
@@ -365,8 +368,8 @@
 
     /**
      * Nothing is owed to it. What it says at this same moment may have been read already: no more is, and only
-     * when all that was is told does the connection end, or go on. What is not read then is taken back by its
-     * close, so that the client knows that nobody has it.
+     * when all that was is told does the connection end, or go on. Its next statement may cross that end unread:
+     * the word it finds then says that nothing ran and that it may come again.
      */
     private void part(Client client) {
         if (!client.parting) {
@@ -380,7 +383,10 @@
     private void partIfQuiet(Client client) {
         client.parting = false;
         parting--;
-        if (client.isIdle()) {
+        if (client.isIdle() && client.asked) {
+            effects.write(client.number, ENDS.duplicate());
+            farewell(client);
+        } else if (client.isIdle()) {
             remove(client);
             effects.drop(client.number);
             stopIfDone();
@@ -393,8 +399,13 @@
     /** It was told why: nothing more is read or said, and it has a moment to read that. */
     private void farewell(Client client) {
         remove(client);
+        leaving++;
         effects.finish(client.number);
-        at(now.plus(terms.connectTimeout()), () -> effects.drop(client.number));
+        at(now.plus(terms.connectTimeout()), () -> {
+            effects.drop(client.number);
+            leaving--;
+            stopIfDone();
+        });
     }
 
     private void remove(Client client) {
@@ -414,7 +425,8 @@
             answeredAt = now;
             at(now.plus(STILL_COMING), this::stopIfDone);
         }
-        if (clients.isEmpty() || now.minus(answeredAt).compareTo(STILL_COMING) >= 0) {
+        boolean waited = answeredAt != null && now.minus(answeredAt).compareTo(STILL_COMING) >= 0;
+        if (clients.isEmpty() && leaving == 0 || waited) {
             LOG.info(() -> "stopped: " + counts());
             enter(Phase.STOPPED);
         }
