The reading thread itself ends the connection of an idle client

Between the reducer's decision and the close lay up to a millisecond in which a statement came in. Change: the reducer says how many messages it was told; the reading thread, right after a pass over all that has come in, ends the connection if it has read no more, else the client is served on. The word at the end, which changed nothing, is undone.

--- a/src/main/java/weldcross/gateway/Effects.java
+++ b/src/main/java/weldcross/gateway/Effects.java
@@ -35,6 +35,12 @@
     /** Ends a connection before anything that is asked for later. */
     void drop(long connection);
 
+    /**
+     * Ends a client's connection if no more than so many messages of it have been read, at the moment that all
+     * that has come in by now was; tells by an event whether it did.
+     */
+    void part(long connection, int messages);
+
     /** Ends a connection once all that was written to it is out. */
     void finish(long connection);
 
--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -56,7 +56,6 @@
     private static final int MOST_WAITING = 64;
 
     private static final ByteBuffer FAILED = Replies.error("58000", "failed, and may have run", null);
-    private static final ByteBuffer ENDS = Replies.fatal("57P03", "this connection ends, nothing was run");
     private static final Duration STATE_APART = Duration.ofSeconds(1);
     private static final BigDecimal MOST_NANOS = BigDecimal.valueOf(Long.MAX_VALUE);
 
@@ -217,7 +216,7 @@
     private Duration now = Duration.ZERO;
     private Duration stoppingAt, answeredAt;
     private long lastNumber;
-    /** Clients of which no more is read, as nothing is owed to them. */
+    /** Clients that are about to lose their connection if they say nothing. */
     private int parting;
     /** Of those that were told why their connections end, how many may still read it. */
     private int leaving;
@@ -367,32 +366,34 @@
     // ---- Ends of clients' connections; docs/architecture.md has the table
 
     /**
-     * Nothing is owed to it. What it says at this same moment may have been read already: no more is, and only
-     * when all that was is told does the connection end, or go on. Its next statement may cross that end unread:
-     * the word it finds then says that nothing ran and that it may come again.
+     * Nothing is owed to it. What it says at this same moment may have been read already: only when all that came
+     * in is read and told does its connection end, at once, or go on.
      */
     private void part(Client client) {
         if (!client.parting) {
             client.parting = true;
             parting++;
-            effects.read(client.number, false);
-            effects.hear(client.number);
+            effects.part(client.number, client.words);
         }
     }
 
-    private void partIfQuiet(Client client) {
+    /** @param quiet whether it had said nothing more, and has no connection any longer */
+    void parted(long number, boolean quiet) {
+        Client client = clients.get(number);
+        if (client == null) {
+            return;
+        }
         client.parting = false;
         parting--;
-        if (client.isIdle() && client.asked) {
-            effects.write(client.number, ENDS.duplicate());
-            farewell(client);
-        } else if (client.isIdle()) {
+        if (quiet) {
             remove(client);
-            effects.drop(client.number);
+            leave(client);
             stopIfDone();
         } else {
-            readOn(client);
             awaitFirst(client);
+            if (isClosing()) {
+                closeIfDone(client);
+            }
         }
     }
 
@@ -585,16 +586,6 @@
         }
     }
 
-    /** All that came in until {@link Effects#hear} was asked for has been told. */
-    void heard(long number) {
-        Client client = clients.get(number);
-        if (client != null && client.parting) {
-            partIfQuiet(client);
-        } else {
-            links.heard(number);
-        }
-    }
-
     void clientWritten(long number) {
         Client client = clients.get(number);
         if (client == null || !client.writing) {
@@ -633,12 +624,6 @@
         writeOn(client);
         if (client.unread && client.waiting.isEmpty() && !client.ending) {
             client.unread = false;
-            readOn(client);
-        }
-    }
-
-    private void readOn(Client client) {
-        if (!client.unread && !client.parting) {
             effects.read(client.number, true);
         }
     }
--- a/src/main/java/weldcross/gateway/GatheringProcessor.java
+++ b/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -72,6 +72,12 @@
         }
     }
 
+    /** Reads no more of it and ends it within this round of the processor, on whose thread this is called. */
+    static void close(IoSession session) {
+        session.suspendRead();
+        session.closeNow();
+    }
+
     /** True if all of it went out; what did not is what the parts have left. */
     static boolean writeNow(IoSession session, ByteBuffer... parts) {
         SocketChannel channel = (SocketChannel) session.getAttribute(CHANNEL);
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -50,6 +50,11 @@
 
         abstract void gone();
 
+        /** Messages told so far, by clients. */
+        int told() {
+            return 0;
+        }
+
         /** Taken up and ended before it was known here. */
         void dialReset() {
             gone();
@@ -270,7 +275,20 @@
 
     @Override
     public void hear(long connection) {
-        processor.afterReading(() -> loop.post(g -> g.heard(connection)));
+        processor.afterReading(() -> loop.post(g -> g.links().heard(connection)));
+    }
+
+    @Override
+    public void part(long connection, int messages) {
+        processor.afterReading(() -> {
+            IoSession session = sessions.get(connection);
+            boolean quiet = session == null || ((Stream) session.getAttribute(STREAM)).told() <= messages;
+            if (session != null && quiet) {
+                sessions.remove(connection);
+                GatheringProcessor.close(session);
+            }
+            loop.post(g -> g.parted(connection, quiet));
+        });
     }
 
     @Override
@@ -320,6 +338,11 @@
                 reader.feed(in);
             }
 
+            @Override
+            int told() {
+                return reader.told();
+            }
+
             @Override
             void written() {
                 loop.post(g -> g.clientWritten(number));
--- a/src/main/java/weldcross/gateway/WarmUp.java
+++ b/src/main/java/weldcross/gateway/WarmUp.java
@@ -128,6 +128,10 @@
     public void hear(long connection) {
     }
 
+    @Override
+    public void part(long connection, int messages) {
+    }
+
     @Override
     public void finish(long connection) {
     }
--- a/src/main/java/weldcross/pgwire/ClientReader.java
+++ b/src/main/java/weldcross/pgwire/ClientReader.java
@@ -34,6 +34,7 @@
     private final FrameReader frames = new FrameReader(true);
     private final Sink sink;
     private boolean over, begun;
+    private int told;
 
     public ClientReader(Sink sink) {
         this.sink = sink;
@@ -54,11 +55,17 @@
         }
     }
 
+    /** How many messages have been told to the sink. */
+    public int told() {
+        return told;
+    }
+
     private void message(byte type, ByteBuffer whole) throws Malformed {
         begun = false;
         if (over) {
             return;
         }
+        told++;
         switch (type) {
             case FrameReader.UNTYPED -> opening(whole.getInt(4));
             case 'Q' -> query(whole);
