A crowd that asks once and stays makes room for who comes again

Change: room is made by who asked nothing, then who asked once, longest idle first; who comes again keeps its place for a dial's time at least. Three eighths of the descriptors are clients' (7/16 before), and up to three quarters in all are accepted (half before), so that a crowd is taken up while room is made for it.

--- a/src/main/java/weldcross/gateway/Gateway.java
+++ b/src/main/java/weldcross/gateway/Gateway.java
@@ -67,7 +67,8 @@
         /** What it asked that is not begun, and what is begun and has not gone out. */
         final ArrayDeque<Consumer<Turn>> waiting = new ArrayDeque<>(2);
         final ArrayDeque<Turn> turns = new ArrayDeque<>(2);
-        boolean writing, ending, parting, unread, asked;
+        boolean writing, ending, parting, unread;
+        int asks;
         /** Counts what it has said: a message begun earlier is waited for no more. */
         int words;
         Duration idleSince;
@@ -230,9 +231,9 @@
         this.terms = terms;
         this.effects = effects;
         this.unixAtStart = unixAtStart;
-        // An eighth of the descriptors is the process's own, a sixteenth for clients on their way out; clients
-        // and servers cannot starve each other.
-        this.mostClients = terms.sockets() * 7 / 16;
+        // Three eighths each for clients and servers, an eighth is the process's own; what the other does not use
+        // takes up crowds until room is made for them.
+        this.mostClients = terms.sockets() * 3 / 8;
         this.silence = terms.connectTimeout().multipliedBy(8);
         this.links = new ServerLinks(this, effects, terms.connectTimeout(), terms.idleClose(),
                 terms.sockets() * 3 / 8);
@@ -459,32 +460,42 @@
 
     /** Whoever asks nothing in time holds a place for nothing. */
     private void awaitFirst(Client client) {
-        if (!client.asked) {
+        if (client.asks == 0) {
             at(now.plus(silence), () -> {
-                if (!client.asked && !client.ending) {
+                if (client.asks == 0 && !client.ending) {
                     part(client);
                 }
             });
         }
     }
 
-    /** Whoever has asked nothing yet goes first, the oldest of them, then the longest idle of the others. */
+    /**
+     * Whoever has asked nothing yet goes first, the oldest of them; then who asked once and stayed, then who has
+     * rested for a dial's time, the longest idle of each: the others would only come back.
+     */
     private boolean makeRoom() {
+        Client once = null;
         Client longest = null;
         for (Client c : clients.values()) {
-            if (!c.asked && !c.parting) {
+            if (c.asks == 0 && !c.parting) {
                 part(c);
                 return true;
             }
-            if (c.isIdle() && !c.parting && (longest == null || c.idleSince.compareTo(longest.idleSince) < 0)) {
-                longest = c;
+            if (c.isIdle() && !c.parting) {
+                once = c.asks == 1 ? longerIdle(c, once) : once;
+                longest = longerIdle(c, longest);
             }
         }
-        if (longest == null || now.minus(longest.idleSince).compareTo(silence) < 0) {
-            return false;
+        Client goes = once != null ? once : longest != null && now.minus(longest.idleSince)
+                .compareTo(terms.connectTimeout()) >= 0 ? longest : null;
+        if (goes != null) {
+            part(goes);
         }
-        part(longest);
-        return true;
+        return goes != null;
+    }
+
+    private static Client longerIdle(Client a, Client b) {
+        return b == null || a.idleSince.compareTo(b.idleSince) < 0 ? a : b;
     }
 
     /**
@@ -582,7 +593,7 @@
     private void hasAsked(long number) {
         Client client = clients.get(number);
         if (client != null) {
-            client.asked = true;
+            client.asks++;
         }
     }
 
--- a/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/src/main/java/weldcross/gateway/MinaEffects.java
@@ -80,7 +80,7 @@
     private NioDatagramAcceptor peers;
     private InetSocketAddress peersFrom;
 
-    MinaEffects(Loop loop, Supplier<Duration> clock, int mostClients) {
+    MinaEffects(Loop loop, Supplier<Duration> clock, int mostOpen) {
         this.loop = loop;
         this.clock = clock;
         ExecutorService threads = Executors.newCachedThreadPool(task -> {
@@ -89,8 +89,8 @@
             return thread;
         });
         processor = new GatheringProcessor(threads);
-        acceptor = new CappedAcceptor(threads, processor, mostClients);
         connector = new NioSocketConnector(threads, processor);
+        acceptor = new CappedAcceptor(threads, processor, mostOpen, connector::getManagedSessionCount);
         set(acceptor.getSessionConfig());
         set(connector.getSessionConfig());
         acceptor.setReuseAddress(true);
--- a/src/main/java/weldcross/gateway/Service.java
+++ b/src/main/java/weldcross/gateway/Service.java
@@ -31,7 +31,7 @@
         long zero = System.nanoTime();
         Supplier<Duration> clock = () -> Duration.ofNanos(System.nanoTime() - zero);
         loop = new Loop(clock);
-        effects = new MinaEffects(loop, clock, terms.sockets() / 2);
+        effects = new MinaEffects(loop, clock, terms.sockets() * 3 / 4);
         gateway = new Gateway(terms, effects, Duration.ofSeconds(wall.getEpochSecond(), wall.getNano()));
         loop.post(Gateway::start);
     }
