A session's mark that alone is lost is put in the store again

Need: found on reading: where the store refused one mark and went on answering, nothing put it again, so that a sure answer elsewhere could lack it. Change: Knowledge puts it among what a store that is back is told, at that pace. Measured: a test refuses one mark and finds it in the store; without the change it fails.

--- a/gateway/src/main/java/weldcross/shared/Knowledge.java
+++ b/gateway/src/main/java/weldcross/shared/Knowledge.java
@@ -54,6 +54,8 @@
         final Kind kind;
         final long ticket;
         final Duration overdueAt;
+        /** Whose mark it is, where it is one. */
+        long session;
         /** The RPC that waited for it went on without it. */
         boolean unwaited;
 
@@ -184,6 +186,7 @@
         }
         marked++;
         long ask = ask(now, Kind.MARK, ticket);
+        asks.get(ask).session = session;
         host.mark(ask, session, commit, terms.marksKept());
         if (terms.markWithin().isZero()) {
             settle(ask);
@@ -259,6 +262,7 @@
         Ask ended = asks.remove(ask);
         if (ended != null) {
             settleWithout(ended);
+            putAgain(now, ended);
             failed(now, lost, why);
         }
     }
@@ -290,6 +294,7 @@
         }
         // Whoever goes on without the store may ask it something else at once.
         late.forEach(this::settleWithout);
+        late.forEach(ask -> putAgain(now, ask));
         if (!late.isEmpty()) {
             failed(now, false, "no answer within " + patience.toMillis() + " ms");
         }
@@ -361,6 +366,14 @@
         wakeAgain(now);
     }
 
+    /** A mark that is lost alone, while the store goes on answering; when it comes back from away all are put. */
+    private void putAgain(Duration now, Ask ask) {
+        Duration commit = ask.kind == Kind.MARK ? marks.get(now, ask.session) : null;
+        if (commit != null) {
+            refill.add(new long[] {ask.session, commit.toNanos()});
+        }
+    }
+
     /** The RPC that waits for this ask, if one does, waits no longer. */
     private void settle(long number) {
         Ask ask = asks.get(number);
@@ -396,6 +409,7 @@
                     .plus(Duration.ofSeconds(1).dividedBy(terms.refillPerSecond()));
             long ask = ask(now, Kind.MARK, NO_TICKET);
             asks.get(ask).unwaited = true;
+            asks.get(ask).session = mark[0];
             host.mark(ask, mark[0], Duration.ofNanos(mark[1]), terms.marksKept());
         }
     }
--- a/gateway/src/test/java/weldcross/shared/KnowledgeTest.java
+++ b/gateway/src/test/java/weldcross/shared/KnowledgeTest.java
@@ -341,6 +341,18 @@
         assertEquals(UNIX.plus(ms(901)), w.store.sightings.get(s).position());
     }
 
+    @Test
+    void aMarkThatAloneIsLostIsPutAgain() {
+        World w = settled();
+        Gateway a = w.gateways.get(0);
+        w.store.refusing = true;
+        a.knowledge.wrote(w.now(), 77, UNIX.plus(ms(5)), a.begin(TERMS.markWithin()));
+        w.store.refusing = false;
+        w.pass(1000);
+        assertEquals(List.of("UP it answers"), a.said, "never away, so that nothing else has it put again");
+        assertEquals(UNIX.plus(ms(5)), w.store.marks.get(77L));
+    }
+
     @Test
     void yesterdaysStoreMakesNobodyGoBack() {
         World w = settled();
