The first window is the fleet's, and who is overdue is asked ever more rarely

From second 10 on servers of the busy groups hold 10 to 42 call-outs at once and answer half of what they get: 4,523 of 24,388 RPCs' call-outs ran into their time. One of them by its id, in the one gateway that had it: n1 "rpc ...: taken, register-lookup of group 6, ... ms left", "call-out 0 to s-", "call-out 0 ended TIMED_OUT after 1447 ms", "given up with ... ms left, 1 call-outs".

At fault: Seat(), window = max(1, 12 / gateways). Twelve a server shared by the fleet were meant; with 92 gateways it was 92, and a gateway with 0.2 call-outs a second at a server needs half a minute to learn better. And overdue(): an overdue answer had its server probed every 100 ms by every gateway that had one there: 77 to 117 probes a second at one primary, 50,137 probes in all, which then cost more than all else but the RPCs lost.

Now the window starts at the fleet's part, below one with rests between call-outs as before; the gap between the probes for overdue answers doubles up to two seconds until an RPC is answered. RPCs and their call-outs are logged by id at FINE.

--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -147,6 +147,8 @@
         @Override
         void ended(Outcome outcome, ServerAnswer answer) {
             rpc.out--;
+            LOG.fine(() -> "rpc " + rpc.id.name() + ": call-out " + number + " ended " + outcome + " after "
+                    + now.minus(sent).toMillis() + " ms" + (rpc.answered ? ", answered before" : ""));
             if (outcome == Outcome.OK && !rpc.answered) {
                 served++;
                 answer(rpc, answer.forClient());
@@ -690,6 +692,8 @@
         Rpc rpc = new Rpc(id, turn, statement, now.plus(patience));
         taken++;
         rpcs.put(id, rpc);
+        LOG.fine(() -> "rpc " + id.name() + ": taken, " + statement.method() + " of group " + group.number() + ", "
+                + patience.toMillis() + " ms left");
         Need need = terms.service().methods().get(method).need();
         boolean inSession = need == Need.WRITE || need == Need.SESSION;
         long after = statement.afterMillis();
@@ -811,6 +815,7 @@
     public void callOut(RpcId id, ServerId server, Duration until) {
         Rpc rpc = rpcs.get(id);
         CallOut callOut = new CallOut(rpc, server, until.compareTo(rpc.deadline) < 0 ? until : rpc.deadline);
+        LOG.fine(() -> "rpc " + id.name() + ": call-out " + callOut.number + " to " + server.name());
         if (callOut.until.compareTo(now) <= 0) {
             links.drop(callOut, Outcome.NOT_SENT);
             return;
@@ -852,6 +857,8 @@
         if (rpc == null || rpc.answered) {
             return false;
         }
+        LOG.fine(() -> "rpc " + id.name() + ": given up with " + rpc.deadline.minus(now).toMillis() + " ms left, "
+                + rpc.callOuts.size() + " call-outs");
         answer(rpc, words);
         forget(rpc);
         return true;
@@ -859,6 +866,7 @@
 
     @Override
     public void probe(ServerId server) {
+        LOG.fine(() -> "probe to " + server.name());
         links.ask(server, new Probe(server));
     }
 
--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -80,7 +80,7 @@
         /** Among equals the least goes first; most picks of a gateway that sees little are among equals. */
         double order;
         final LinkedHashSet<CallOut> out = new LinkedHashSet<>();
-        Duration lastWord = Duration.ZERO, seekGap = SHORT_WAIT, doubt = FIRST_DOUBT;
+        Duration lastWord = Duration.ZERO, seekGap = SHORT_WAIT, askGap = SHORT_WAIT, doubt = FIRST_DOUBT;
         double window;
         Duration coldNext = Duration.ZERO, restUntil = Duration.ZERO, windowAt = Duration.ZERO;
         Duration answeredSent = Duration.ZERO;
@@ -91,7 +91,8 @@
             this.zone = zone;
             // An order of each gateway's own, the nearer first, as crossing zones costs.
             order = dice.nextDouble() + (zone.equals(terms.zone()) ? 0 : 1);
-            window = Math.max(1, FIRST_WINDOW / terms.gateways());
+            // Its part of what all gateways try together: one each from a hundred jams what knows nobody yet.
+            window = FIRST_WINDOW / terms.gateways();
             group.seats.add(this);
         }
     }
@@ -415,8 +416,9 @@
         int unheard = unheard(now, seat);
         if (unheard >= OVERDUE_ANSWERS && !seat.doubted) {
             doubt(now, seat);
-        } else if (unheard > 0 && !seat.doubted) {
-            probe(now, seat, SHORT_WAIT);
+        } else if (unheard > 0 && !seat.doubted && probe(now, seat, seat.askGap)) {
+            // That it lives is soon known; asked by a whole fleet as often as one asks, it has little else to do.
+            seat.askGap = sooner(seat.askGap.multipliedBy(2), LONGEST_DOUBT);
         }
         if (seat.doubted || seat.group.held.isEmpty() && lost(c)) {
             rescue(now, c);
@@ -790,6 +792,7 @@
 
     private void trust(Duration now, Seat seat, CallOut answered) {
         seat.deaf = seat.strikes = 0;
+        seat.askGap = SHORT_WAIT;
         seat.answeredSent = later(seat.answeredSent, answered.sent);
         seat.lastWord = now;
         seat.doubted = false;
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -627,6 +627,45 @@
         assertTrue(rig.probes.size() <= 21 && rig.probes.size() >= 6, "in 5 s: " + rig.probes.size());
     }
 
+    /** Many gateways with an overdue answer each asked one loaded primary 77 times a second whether it lives. */
+    @Test
+    void whoIsOverdueIsAskedEverMoreRarely() {
+        Rig rig = Rig.settled();
+        for (int k = 0; k < 30; k++) {
+            String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+            rig.wait(ms(10));
+            rig.end(rig.only(write), Outcome.OK);
+        }
+        rig.probes.clear();
+        rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        int asked = 0;
+        for (int k = 0; k < 70; k++) {
+            rig.wait(ms(20));
+            asked += rig.probes.size();
+            rig.probes.forEach(s -> rig.router.probeEnded(rig.now, s, Outcome.OK, null));
+            rig.probes.clear();
+        }
+        assertTrue(asked >= 2 && asked <= 5, "asked in 1.4 s: " + asked);
+    }
+
+    /** A hundred gateways that know nothing yet gave each server one call-out each, all the time: a jam. */
+    @Test
+    void theFirstWindowIsSharedByTheFleet() {
+        int gateways = 80;
+        int sent = 0;
+        for (int g = 0; g < gateways; g++) {
+            Rig rig = Rig.settled(Rig.fleet(gateways, true), g);
+            for (int k = 0; k < 60; k++) {
+                rig.arrive(Need.WRITE, 0, Duration.ZERO);
+                rig.wait(ms(50));
+                rig.serve(ms(300));
+            }
+            sent += rig.rpcs.values().stream().mapToInt(e -> e.sent).sum();
+        }
+        // Twelve in work at 300 ms each make 120 in 3 s, besides the one that each may try at once.
+        assertTrue(sent > gateways && sent <= 120 + 2 * gateways, "in 3 s: " + sent);
+    }
+
     /** Clients that leave before their time: what took longer than they stayed narrows the window. */
     @Test
     void clientsThatLeaveNarrowTheWindow() {
