A method's usual time is not told by its first answer alone

Seen: herd+mass (103 gateways), logs with the state at each giving up added for the look. Where nothing had gone out yet, lookups were given up 4 to 26 ms after they came, with every replica free: "2.907 TAIL BOUNDED age 14 heard true usual 581 ..., window 0.11" The gateway's first lookup had taken 581 ms, one in ten does; usual[m] was set to it and came down by 5 in 100 an answer, of which a gateway of a hundred sees one in seconds. 1.4 times 581 ms is more than a lookup has, so all that was held was given up on arrival. At fault: judge(), usual[m] = took, with STRIDE from the second answer on, and release(), which trusted it at once. Ruled out: servers' windows (unused that moment), positions (one replica held).

Now the first answers move it far (a half, a third, a fourth, ...), and nothing is given up by it before five.

--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -57,6 +57,8 @@
     private static final double LEAST_SERVED = 0.3;
     /** How far one answer moves what its method usually takes, and one RPC what part of it is served. */
     private static final double STRIDE = 1.05;
+    /** Of fewer answers it is not known how long a method usually takes: one in ten takes several times as long. */
+    private static final int FEW = 5;
     private static final double SERVED_GAIN = 0.05;
     /** As many answers overdue mean silence, even where probes are answered. */
     private static final int OVERDUE_ANSWERS = 5;
@@ -153,6 +155,7 @@
     private final TreeMap<Duration, List<Consumer<Duration>>> dues = new TreeMap<>();
     private final LinkedHashMap<SessionId, Duration> tokens = new LinkedHashMap<>();
     private final double[] usual, served;
+    private final int[] answers;
     private Duration floor, wakeAt, askAt, askWait;
     private LinkedHashSet<Seat> unseen;
     private double workDone, warmRate, extra = 1;
@@ -163,6 +166,7 @@
         this.dice = new SplittableRandom(seed);
         this.usual = new double[terms.methods().size()];
         this.served = new double[terms.methods().size()];
+        this.answers = new int[terms.methods().size()];
         this.probeAfter = terms.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .map(m -> m.bound().dividedBy(4)).min(Duration::compareTo).orElse(BEAT);
         this.askWait = terms.askWithin().dividedBy(16);
@@ -569,7 +573,8 @@
         waiting.sort(Comparator.comparingDouble(rpc -> -value(now, rpc)));
         for (Rpc rpc : waiting) {
             // What could no longer be answered in time is given up at once: no server works on it in vain.
-            if (!rpc.answered && seconds(rpc.giveUpAt.minus(now)) < TAIL * usual[rpc.method]) {
+            if (!rpc.answered && answers[rpc.method] >= FEW
+                    && seconds(rpc.giveUpAt.minus(now)) < TAIL * usual[rpc.method]) {
                 giveUp(rpc);
             } else if (!rpc.answered) {
                 route(now, rpc);
@@ -741,8 +746,10 @@
         boolean slow = seconds(took) > SLOW_TIMES * usual[m] && outcome == Outcome.OK;
         seat.order += slow || outcome == Outcome.ERROR || outcome == Outcome.NO_ROUTE ? 1 : 0;
         if (outcome == Outcome.OK) {
-            // Settles at the median: with a mean, one jammed server would make every RPC look hopeless.
-            double stride = seconds(took) < usual[m] ? 1 / STRIDE : STRIDE;
+            // Settles at the median: with a mean, one jammed server would make every RPC look hopeless. The first
+            // answers move it far, or a gateway that sees little goes by its very first for half a minute.
+            double reach = Math.max(STRIDE, 1 + 1.0 / ++answers[m]);
+            double stride = seconds(took) < usual[m] ? 1 / reach : reach;
             usual[m] = usual[m] == 0 ? seconds(took) : usual[m] * stride;
             workDone += cold(now, seat) ? 0 : callOut.work;
             extra += EXTRA_PER_OK;
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -666,6 +666,36 @@
         assertTrue(sent > gateways && sent <= 120 + 2 * gateways, "in 3 s: " + sent);
     }
 
+    /** A gateway whose very first answer took long gave up all that it held, for as long as it saw little. */
+    @Test
+    void oneSlowAnswerDoesNotMakeAllHopeless() {
+        Rig rig = Rig.settled();
+        String slow = rig.arrive(Need.FRESH, 0, Duration.ZERO);
+        rig.wait(ms(350));
+        rig.end(rig.only(slow), Outcome.OK);
+        assertNull(heldFor(rig, ms(60)), "given up by one answer");
+        for (int k = 0; k < 8; k++) {
+            String quick = rig.arrive(Need.FRESH, 0, Duration.ZERO);
+            rig.wait(ms(60));
+            rig.end(rig.only(quick), Outcome.OK);
+        }
+        assertNull(heldFor(rig, ms(60)), "the first answer counts for more than the eight that followed");
+    }
+
+    /** What a read had for an answer that only the primary may serve, while that drains; then it is back. */
+    private static String heldFor(Rig rig, Duration span) {
+        rig.server(0).told = Condition.DRAINING;
+        rig.list();
+        Rig.Entry entry = rig.rpcs.get(rig.arrive(Need.FRESH, 0, Duration.ZERO));
+        rig.wait(span);
+        String answer = entry.answer;
+        rig.server(0).told = Condition.ON;
+        rig.server(0).start = rig.now.minus(ms(20_000));
+        rig.list();
+        rig.serve(ms(0));
+        return answer;
+    }
+
     /** Clients that leave before their time: what took longer than they stayed narrows the window. */
     @Test
     void clientsThatLeaveNarrowTheWindow() {
