--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -789,8 +789,9 @@
         double gain = Math.max(WINDOW_GAIN, BOLDEST_GAIN * Math.min(1, seconds(now.minus(seat.windowAt))));
         seat.windowAt = now;
         double step = gain * (EASE - Math.min(1, strain));
-        // Under one, the server rests between call-outs: many gateways with one each are still too many.
-        double rests = Math.max(0, 1 / seat.window - 1);
+        // Under one, the server rests between call-outs: many gateways with one each are still too many. The less
+        // an answer strains it the shorter, or the few RPCs that only it may serve wait where nobody is busy.
+        double rests = Math.max(0, 1 / seat.window - 1) * Math.min(1, strain / EASE);
         seat.restUntil = now.plus(span(seconds(took) * rests));
         if (step < 0 || seat.out.size() + 2 > seat.window) {
             seat.window = Math.max(LEAST_WINDOW, seat.window * (1 + step));
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -696,6 +696,23 @@
         return answer;
     }
 
+    /** Reads that only the primary may serve waited out its rest for half their time, though it had time to spare. */
+    @Test
+    void anAnswerAtEaseEarnsAShortRest() {
+        Rig rig = Rig.settled(Rig.fleet(80, true));
+        String first = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.wait(ms(40));
+        rig.end(rig.only(first), Outcome.OK);
+        String second = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.wait(ms(150));
+        assertEquals(1, rig.rpcs.get(second).sent, "a tenth of its soft deadline was taken");
+        rig.wait(ms(230));
+        rig.end(rig.only(second), Outcome.OK);
+        String third = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.wait(ms(500));
+        assertEquals(0, rig.rpcs.get(third).sent, "nine tenths were taken");
+    }
+
     /** Clients that leave before their time: what took longer than they stayed narrows the window. */
     @Test
     void clientsThatLeaveNarrowTheWindow() {
