--- a/gateway/src/main/java/weldcross/gateway/ListWatch.java
+++ b/gateway/src/main/java/weldcross/gateway/ListWatch.java
@@ -92,7 +92,8 @@
             return;
         }
         try {
-            talk.since = take(NamedValues.ofJson(text));
+            NamedValues told = NamedValues.ofJson(text);
+            talk.since = isBehind(talk, told) ? told.whole("revision", -1, 0) : take(told);
         } catch (FaultyTerm e) {
             talk.fail(e.getMessage());
             return;
@@ -113,6 +114,29 @@
         talk.ask();
     }
 
+    /**
+     * Against an address that is behind the one before it: taken back to an older list, a gateway would send again
+     * to servers that it was told drain. What such an address tells is known already until it has come as far. It
+     * would harm where discovery begins to count anew, so what is still behind when a list must have been had
+     * counts as the newer count.
+     */
+    private boolean isBehind(Talk talk, NamedValues told) {
+        boolean older = told.whole("revision", Long.MAX_VALUE, 0) < revision;
+        if (!older) {
+            talk.behindSince = null;
+            return false;
+        }
+        if (talk.behindSince == null) {
+            talk.behindSince = gateway.now();
+            LOG.info(() -> "the list there is behind the one held, which stays in force");
+        }
+        boolean stays = gateway.now().minus(talk.behindSince).compareTo(terms.service().askWithin()) < 0;
+        if (!stays && !told.flag("complete", false)) {
+            talk.askWhole = true;
+        }
+        return stays || talk.askWhole && !told.flag("complete", false);
+    }
+
     private Talk talk(long number) {
         return current != null && current.link == number ? current
                 : next != null && next.link == number ? next : null;
@@ -142,7 +166,9 @@
         /** The revision that the next watch goes on from; below zero the whole list is asked for. */
         long since = -1;
         long link, asked;
-        boolean up, answered;
+        boolean up, answered, askWhole;
+        /** Since when it has told only what is older than what is held; null where it has not. */
+        Duration behindSince;
 
         Talk(InetSocketAddress address) {
             this.address = address;
@@ -162,7 +188,8 @@
         }
 
         void ask() {
-            boolean first = since < 0;
+            boolean first = since < 0 || askWhole;
+            askWhole = false;
             String path = first ? "/catalog/members"
                     : "/catalog/members?since=" + since + "&timeout_ms=" + watch.toMillis();
             String head = "GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":"
--- a/gateway/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/gateway/src/test/java/weldcross/gateway/GatewayTest.java
@@ -597,6 +597,51 @@
         assertEquals(back, w.discovery, "nothing changed");
     }
 
+    /** Rule 3: taken back to a list from before the drain, it sent to the drained server again. */
+    @Test
+    void anAddressOfDiscoveryThatIsBehindTakesNothingBack() {
+        World w = World.serving();
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 42, true, "leaving");
+        w.reload(2);
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 40, true, "active");
+        assertTrue(w.wires.get(w.discovery).take().endsWith("since=40&timeout_ms=5000 HTTP/1.1\r\nHost: 127.0.0.1:2"
+                + "\r\nAccept: application/json\r\n\r\n"), "goes on from where it is");
+        assertFalse(serversOf(w, 40).contains("s-1"), "sent to a server that drains");
+        list(w, 41, false, "active");
+        assertFalse(serversOf(w, 40).contains("s-1"), "sent to a server that drains");
+        list(w, 43, false, "active");
+        assertTrue(serversOf(w, 40).contains("s-1"), "what is newer counts");
+        list(w, 45, false, "leaving");
+        w.reload(3);
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 5, true, "active");
+        w.wait(5_000);
+        list(w, 5, false, "active");
+        assertTrue(w.wires.get(w.discovery).take().contains("?since=5&"));
+        w.wait(5_000);
+        list(w, 5, false, "active");
+        assertTrue(w.wires.get(w.discovery).take().contains("GET /catalog/members HTTP"), "it counts anew");
+        assertFalse(serversOf(w, 40).contains("s-1"));
+        list(w, 5, true, "active");
+        assertTrue(serversOf(w, 40).contains("s-1"));
+    }
+
+    private static Set<String> serversOf(World w, int rpcs) {
+        Set<String> servers = new HashSet<>();
+        long client = w.connect();
+        for (int k = 0; k < rpcs; k++) {
+            w.ask(client, false, 500);
+            w.asked().forEach(l -> {
+                servers.add(w.wires.get(l).server);
+                w.answer(l, null);
+            });
+            w.wait(20);
+        }
+        return servers;
+    }
+
     @Test
     void whatOnlyARestartCanChangeIsNamedInTheLog() {
         World w = World.serving();
