--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -134,6 +134,11 @@
             return rpc.statement.withWait(Math.max(1, until.minus(now).toMillis()));
         }
 
+        @Override
+        boolean mayGo() {
+            return router.mayStillGo(now, rpc.id, number);
+        }
+
         @Override
         boolean isBrief() {
             return false;
@@ -176,6 +181,11 @@
             return new ByteBuffer[] {Replies.query(terms.reportsByProbe() ? "SHOW stats" : "SELECT 1")};
         }
 
+        @Override
+        boolean mayGo() {
+            return true;
+        }
+
         @Override
         boolean isBrief() {
             return true;
@@ -253,13 +263,27 @@
 
     /** Makes all changes that are due by now. */
     void reduceDue(Duration at) {
+        for (boolean more = true; more;) {
+            more = reduceNextDue(at, at);
+        }
+    }
+
+    /**
+     * Makes the changes of the earliest due time, if that is not after {@code until}; false where it is. Of
+     * many that are due each is made at its own time: decided by that of the first, the last would go by a
+     * time long past.
+     */
+    boolean reduceNextDue(Duration until, Duration at) {
+        List<Runnable> due = dues.poll(until);
+        if (due == null) {
+            return false;
+        }
         advance(at);
-        for (List<Runnable> due = dues.poll(now); due != null; due = dues.poll(now)) {
-            for (Runnable each : due) {
-                each.run();
-                settle();
-            }
+        for (Runnable each : due) {
+            each.run();
+            settle();
         }
+        return true;
     }
 
     /** Null where nothing is due. */
@@ -673,6 +697,9 @@
         } else if (statement.tenant() != null && !terms.tenants().isEmpty()
                 && !terms.tenants().contains(statement.tenant())) {
             fault = "unknown tenant";
+        } else if (!groupNumbers.contains(group) && !list.stands()) {
+            answer(turn, Replies.error("57P03", "not ready", null));
+            return;
         } else if (!groupNumbers.contains(group)) {
             fault = "unknown cluster";
         } else if (rpcs.containsKey(id)) {
@@ -799,8 +826,14 @@
         serveIfReady();
     }
 
+    /** Told whenever it changes: whether the list holds all that binds. */
+    void listStands(boolean stands) {
+        router.listStands(now, stands);
+        serveIfReady();
+    }
+
     private void serveIfReady() {
-        if (phase == Phase.LISTENING && warm && !groups.isEmpty()) {
+        if (phase == Phase.LISTENING && warm && !groups.isEmpty() && list.stands()) {
             enter(Phase.SERVING);
         }
     }
--- a/gateway/src/main/java/weldcross/gateway/ListWatch.java
+++ b/gateway/src/main/java/weldcross/gateway/ListWatch.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.logging.Logger;
+import weldcross.discovery.ListTerm;
 import weldcross.discovery.ListedMember;
 import weldcross.terms.FaultyTerm;
 import weldcross.terms.GatewayTerms;
@@ -26,6 +27,8 @@
     /** How long a watch waits, and how long an answer may take beyond what it waits for. */
     private final Duration watch;
     private final Duration grace;
+    private final ListTerm term;
+    private boolean stands;
     private long revision = -1;
     private boolean failing;
     /** The talk that the list comes from, and the one that is to take over; null where there is none. */
@@ -37,9 +40,40 @@
         this.terms = terms;
         this.watch = terms.service().askWithin().dividedBy(2);
         this.grace = terms.connectTimeout().multipliedBy(4);
+        this.term = new ListTerm(terms.stopSending());
+    }
+
+    /**
+     * Whether the list holds all that binds: not before discovery's first word, nor when it was silent for
+     * long.
+     */
+    boolean stands() {
+        return stands;
+    }
+
+    /** Tells when that changes, and looks again when it may. */
+    private void judgeTerm() {
+        boolean before = stands;
+        stands = term.stands(gateway.now());
+        if (before && !stands) {
+            LOG.warning("discovery has been silent for so long that drains may be owed: nothing goes to any "
+                    + "server until it speaks");
+        }
+        if (before != stands) {
+            gateway.listStands(stands);
+        }
+        if (stands) {
+            gateway.at(term.end(), this::judgeTerm);
+        }
+    }
+
+    private void unheard(Duration since) {
+        term.unheard(since);
+        judgeTerm();
     }
 
     void start() {
+        gateway.listStands(false);
         if (terms.known().has("members.count")) {
             take(terms.known());
         }
@@ -68,6 +102,12 @@
             effects.drop(number);
         } else {
             talk.up = true;
+            if (talk.lostAt != null && ListTerm.isNewWatch(gateway.now().minus(talk.lostAt))) {
+                // Asked for all of it, it speaks at once.
+                unheard(talk.lostAt);
+                talk.since = -1;
+            }
+            talk.lostAt = null;
             talk.ask();
         }
     }
@@ -75,7 +115,9 @@
     void gone(long number) {
         Talk talk = talk(number);
         if (talk != null && talk.answered && talk.isLast()) {
-            // It closes after an answer, as it may; what it told so far is held, so nothing is missed.
+            // It closes after an answer, as it may; what it told so far is held, so nothing is missed if it
+            // is soon asked again.
+            talk.lostAt = gateway.now();
             talk.dial();
         } else if (talk != null) {
             talk.fail("its connection ended");
@@ -99,6 +141,7 @@
             return;
         }
         talk.answered = true;
+        term.spoke(gateway.now(), watch);
         if (talk == next) {
             if (current != null) {
                 current.end();
@@ -112,6 +155,7 @@
             LOG.info("the list is watched again");
         }
         talk.ask();
+        judgeTerm();
     }
 
     /**
@@ -167,6 +211,8 @@
         long since = -1;
         long link, asked;
         boolean up, answered, askWhole;
+        /** When its connection ended between two watches; null where it is open. */
+        Duration lostAt;
         /** Since when it has told only what is older than what is held; null where it has not. */
         Duration behindSince;
 
@@ -213,6 +259,10 @@
                 failing = true;
                 LOG.warning("discovery: " + why + "; the list held stays in force");
             }
+            if (this == current || current == null) {
+                unheard(lostAt != null ? lostAt : gateway.now());
+            }
+            lostAt = null;
             end();
             if (isLast()) {
                 long ended = asked;
--- a/gateway/src/main/java/weldcross/gateway/Question.java
+++ b/gateway/src/main/java/weldcross/gateway/Question.java
@@ -17,6 +17,9 @@
     /** What goes out, worded when it goes: the time left is part of it. */
     abstract ByteBuffer[] message();
 
+    /** Asked when its connection is up: whether it is still to go out, as a dial takes time. */
+    abstract boolean mayGo();
+
     /** Whether its answer is given at once or never, so that it is waited for no longer than for a dial. */
     abstract boolean isBrief();
 
--- a/gateway/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerLinks.java
@@ -182,7 +182,15 @@
             link.step++;
             link.up = true;
             link.upSince = gateway.now();
-            write(link, link.question.message());
+            Question question = link.question;
+            if (question.mayGo()) {
+                write(link, question.message());
+                return;
+            }
+            link.question = null;
+            question.link = null;
+            rest(link);
+            end(question, Outcome.NOT_SENT, null);
         }
     }
 
--- a/gateway/src/main/java/weldcross/gateway/Service.java
+++ b/gateway/src/main/java/weldcross/gateway/Service.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Timer;
+import java.util.TimerTask;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -19,6 +21,8 @@
     private static final int BROKEN = 70;
     /** RPCs after which what an RPC calls is compiled; the JVM does that after some 200 calls. */
     private static final int WARM_UP = 200;
+    /** In milliseconds. */
+    private static final long LOOK_APART = 1000;
 
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
 
@@ -27,8 +31,10 @@
     private final Gateway gateway;
 
     Service(GatewayTerms terms) {
-        Instant wall = Instant.now();
+        // First the zero, then the wall: what passes between the two makes all data look older than it is.
+        // The other way round it would look fresher, and reads past their bound would go out (rule 5).
         long zero = System.nanoTime();
+        Instant wall = Instant.now();
         Supplier<Duration> clock = () -> Duration.ofNanos(System.nanoTime() - zero);
         loop = new Loop(clock);
         effects = new MinaEffects(loop, clock, terms.sockets() * 3 / 4);
@@ -57,6 +63,14 @@
 
     /** Returns with the status to exit with: when it has stopped, or when it broke. */
     int serve() {
+        Thread turning = Thread.currentThread();
+        Timer looks = new Timer("turns", true);
+        looks.schedule(new TimerTask() {
+            @Override
+            public void run() {
+                loop.lookAtTurn(turning);
+            }
+        }, LOOK_APART, LOOK_APART);
         try {
             loop.run(gateway);
             return 0;
@@ -64,6 +78,7 @@
             LOG.log(Level.SEVERE, "the gateway broke", e);
             return BROKEN;
         } finally {
+            looks.cancel();
             effects.end();
         }
     }
--- a/gateway/src/main/java/weldcross/gateway/WarmUp.java
+++ b/gateway/src/main/java/weldcross/gateway/WarmUp.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -21,6 +22,8 @@
 
     private static final Duration APART = Duration.ofMillis(3);
     private static final long ONLY_CLIENT = 1;
+    private static final byte[] NOTHING_NEW = "{\"revision\":0,\"complete\":false,\"members\":[]}"
+            .getBytes(StandardCharsets.US_ASCII);
 
     /** Held, as a logger that nothing holds may lose its level. */
     private final Logger log = Logger.getLogger(Gateway.class.getPackageName());
@@ -97,6 +100,8 @@
 
     @Override
     public void dialDiscovery(long link, InetSocketAddress to) {
+        loop.post(g -> g.list().up(link));
+        loop.post(g -> g.list().answered(link, 200, NOTHING_NEW));
     }
 
     @Override
--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -57,6 +57,11 @@
     private static final double LEAST_SERVED = 0.3;
     /** How far one answer moves what its method usually takes, and one RPC what part of it is served. */
     private static final double STRIDE = 1.05;
+    /**
+     * No method is taken to be done sooner, lest due times that follow from it come in the same moment for
+     * ever.
+     */
+    private static final double LEAST_USUAL = 0.001;
     /** Of fewer answers it is not known how long a method usually takes: one in ten takes several times as long. */
     private static final int FEW = 5;
     private static final double SERVED_GAIN = 0.05;
@@ -157,6 +162,7 @@
     private final double[] usual, served;
     private final int[] answers;
     private Duration floor, wakeAt, askAt, askWait;
+    private boolean listStands = true;
     private LinkedHashSet<Seat> unseen;
     private double workDone, warmRate, extra = 1;
 
@@ -213,6 +219,19 @@
         groups.values().forEach(g -> look(now, g));
     }
 
+    /**
+     * Whether the list is known to hold all drains that bind; it is until this is told. While it is not
+     * nothing goes out, as a server may drain whose drain was never told. Harmful where discovery is gone
+     * and all servers are well.
+     */
+    public void listStands(Duration now, boolean stands) {
+        boolean again = stands && !listStands;
+        listStands = stands;
+        if (again) {
+            groups.values().forEach(g -> look(now, g));
+        }
+    }
+
     /** The notice does not say which call failed, so the watch is asked for again, more and more rarely. */
     public void listFailed(Duration now) {
         askAt = now.plus(askWait).plusNanos(dice.nextLong(askWait.toNanos() + 1));
@@ -238,6 +257,18 @@
         route(now, rpc);
     }
 
+    /**
+     * Whether a call-out that is decided, but waited for its connection, may still be sent: against a bound
+     * that passed meanwhile, a primary that is none any more, a drain, a list that lapsed. What must not
+     * goes on as never sent.
+     */
+    public boolean mayStillGo(Duration now, RpcId id, int number) {
+        Rpc rpc = open.get(id);
+        Seat seat = rpc.callOuts.get(number).seat;
+        return !rpc.answered && listStands && seat.listed && !seat.draining && (rpc.row.need() == Need.WRITE
+                || seat == rpc.group.primary || holds(now, rpc, seat));
+    }
+
     public void callOutEnded(Duration now, RpcId id, int number, ServerId server, Outcome outcome,
             Duration took, Duration aliveSince, Boolean primary, Duration pos, boolean ended) {
         Rpc rpc = open.get(id);
@@ -636,8 +667,9 @@
 
     /** The seat itself if the RPC may go there now: listed, warm enough, trusted, and no effect twice. */
     private Seat ready(Duration now, Rpc rpc, Seat seat) {
-        return seat.listed && !seat.draining && !rpc.tried.contains(seat) && knowsRepeats(rpc, seat)
-                && trusted(now, rpc, seat) && roomy(now, seat) && coldRoom(now, rpc, seat) ? seat : null;
+        return listStands && seat.listed && !seat.draining && !rpc.tried.contains(seat)
+                && knowsRepeats(rpc, seat) && trusted(now, rpc, seat) && roomy(now, seat)
+                && coldRoom(now, rpc, seat) ? seat : null;
     }
 
     private boolean roomy(Duration now, Seat seat) {
@@ -750,7 +782,7 @@
             // answers move it far, or a gateway that sees little goes by its very first for half a minute.
             double reach = Math.max(STRIDE, 1 + 1.0 / ++answers[m]);
             double stride = seconds(took) < usual[m] ? 1 / reach : reach;
-            usual[m] = usual[m] == 0 ? seconds(took) : usual[m] * stride;
+            usual[m] = Math.max(LEAST_USUAL, usual[m] == 0 ? seconds(took) : usual[m] * stride);
             workDone += cold(now, seat) ? 0 : callOut.work;
             extra += EXTRA_PER_OK;
         }
--- a/gateway/src/main/java/weldcross/terms/GatewayTerms.java
+++ b/gateway/src/main/java/weldcross/terms/GatewayTerms.java
@@ -22,13 +22,14 @@
  * @param methods names of the methods, in the order of the service's rows
  * @param peerListen where other gateways' messages arrive; null where there are none
  * @param idleClose a server closes a connection that has been idle for so long
+ * @param stopSending a server that drains gets nothing new so long after that was told
  * @param reportsByProbe whether a probe is answered with a load report
  * @param known the server list as this gateway last had it
  */
 public record GatewayTerms(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, ServiceTerms service, List<String> methods, List<String> tenants, List<String> zones,
         InetSocketAddress peerListen, InetSocketAddress peersAll, Duration idleClose, Duration connectTimeout,
-        boolean reportsByProbe, NamedValues known) {
+        Duration stopSending, boolean reportsByProbe, NamedValues known) {
 
     /** Reads the file that the environment names; the environment's own values stand in for absent keys. */
     public static GatewayTerms read(Map<String, String> environment) {
@@ -78,7 +79,8 @@
                 List.copyOf(tenants), settings.list("zones"), peers ? told.address("peer_listen") : null,
                 peers ? told.address("peers_all") : null,
                 settings.span("bounds.idleClose", Duration.ofSeconds(30)),
-                settings.span("bounds.connectTimeout", Duration.ofMillis(250)), reportsByProbe,
+                settings.span("bounds.connectTimeout", Duration.ofMillis(250)),
+                settings.span("invariants.stopSendingWithin", Duration.ofSeconds(2)), reportsByProbe,
                 told.under("known"));
     }
 
@@ -94,7 +96,7 @@
         }
         return new GatewayTerms(name, free, new InetSocketAddress(here, discovery), seed, sockets, service,
                 methods, tenants, zones, free, new InetSocketAddress(here, discovery), idleClose, connectTimeout,
-                reportsByProbe, NamedValues.ofPairs(list.toString().split(" "), 0));
+                stopSending, reportsByProbe, NamedValues.ofPairs(list.toString().split(" "), 0));
     }
 
     /** The keys whose new values only a restart brings into force; seed and known list are a start's own. */
@@ -106,8 +108,8 @@
         differ(keys, "peer_listen", peerListen, next.peerListen);
         differ(keys, "peers_all", peersAll, next.peersAll);
         differ(keys, "settings", List.of(service, methods, tenants, zones, idleClose, connectTimeout,
-                reportsByProbe), List.of(next.service, next.methods, next.tenants, next.zones, next.idleClose,
-                next.connectTimeout, next.reportsByProbe));
+                stopSending, reportsByProbe), List.of(next.service, next.methods, next.tenants, next.zones,
+                next.idleClose, next.connectTimeout, next.stopSending, next.reportsByProbe));
         return keys;
     }
 
--- a/gateway/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/gateway/src/test/java/weldcross/gateway/GatewayTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -26,6 +27,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -44,13 +46,17 @@
     private static final long UNIX_MILLIS = 1_800_000_000_000L;
     private static final String COLUMNS = "\0\1content\0" + "\0".repeat(18);
     private static final Duration GRACE = Duration.ofMillis(70);
+    /** Somewhat less than a watch waits. */
+    private static final Duration WATCH = Duration.ofSeconds(4);
     private static final Pattern STATEMENT = Pattern.compile("(SELECT|INSERT).* id=(\\w+),c=(\\w+),"
             + "d=(\\d+),cluster=0.*");
 
     /** One connection as the other side has it. */
-    private static final class Wire {
+    static final class Wire {
         final StringBuilder received = new StringBuilder();
         String server;
+        /** Of an address of discovery; zero of all others. */
+        int port;
         boolean open, dropped;
         String statement;
         ServerReader reader;
@@ -65,7 +71,7 @@
     }
 
     /** The world as effects: three servers of one group, s-0 the primary, and clients that ask. */
-    private static final class World implements Effects {
+    static final class World implements Effects {
         final Map<Long, Wire> wires = new LinkedHashMap<>();
         final List<String> told = new ArrayList<>();
         final Map<String, Duration> deadlines = new HashMap<>();
@@ -82,16 +88,38 @@
         long lastClient, discovery;
         boolean listening;
         int named;
+        /** Whether discovery answers its watches in time, with nothing new. */
+        boolean talking;
+        Duration talkedAt = Duration.ZERO;
+        /** Told of each statement's server as it goes out. */
+        Consumer<String> onSent = server -> { };
 
         World(String... changes) {
-            gateway = new Gateway(GatewayTerms.of(NamedValues.ofJson(config(changes))), this,
+            this(config(changes));
+        }
+
+        World(byte[] config) {
+            gateway = new Gateway(GatewayTerms.of(NamedValues.ofJson(config)), this,
                     Duration.ofMillis(UNIX_MILLIS));
             tell(Gateway::start);
         }
 
+        ListWatch list() {
+            return gateway.list();
+        }
+
+        /** Serving, with a discovery that has said that the list of the start holds. */
+        static World listed(String... changes) {
+            World w = new World(changes);
+            w.talking = true;
+            w.tell(g -> g.list().up(w.discovery));
+            w.nothingNew();
+            return w;
+        }
+
         /** Serving, with all positions known. */
         static World serving(String... changes) {
-            World w = new World(changes);
+            World w = listed(changes);
             w.wait(5);
             w.answerProbes();
             w.wait(5);
@@ -103,8 +131,26 @@
             loop.catchUp(gateway);
         }
 
+        /** Whatever discovery was asked, nothing has changed. */
+        void nothingNew() {
+            byte[] text = "{\"revision\":1,\"complete\":false,\"members\":[]}"
+                    .getBytes(StandardCharsets.UTF_8);
+            wires.get(discovery).take();
+            talkedAt = now;
+            tell(g -> g.list().answered(discovery, 200, text));
+        }
+
         void wait(int millis) {
             Duration end = now.plusMillis(millis);
+            for (Duration next = talkedAt.plus(WATCH); talking && next.compareTo(end) < 0;
+                    next = talkedAt.plus(WATCH)) {
+                waitUntil(next);
+                nothingNew();
+            }
+            waitUntil(end);
+        }
+
+        private void waitUntil(Duration end) {
             for (Duration next = gateway.nextDue(); next != null && next.compareTo(end) <= 0;
                     next = gateway.nextDue()) {
                 now = next.compareTo(now) > 0 ? next : now;
@@ -145,7 +191,7 @@
                 long number = unwritten.remove(0);
                 if (number > 0) {
                     tell(g -> g.clientWritten(number));
-                } else if (number != discovery) {
+                } else if (wires.get(number).port == 0) {
                     tell(g -> g.links().written(number));
                 }
             }
@@ -177,6 +223,7 @@
             });
             wires.get(client).open = false;
             tell(g -> g.clientGone(client));
+            flush();
         }
 
         /** Lets a server answer what its connection carries; its state is null for a row. */
@@ -294,6 +341,7 @@
         public void dialDiscovery(long link, InetSocketAddress to) {
             discovery = link;
             wires.put(link, new Wire());
+            wires.get(link).port = to.getPort();
         }
 
         @Override
@@ -309,7 +357,7 @@
             if (connection > 0) {
                 answered(connection, text);
             }
-            if (connection > 0 || connection == discovery) {
+            if (connection > 0 || wire.port != 0) {
                 wire.received.append(text);
             } else if (text.startsWith("Q")) {
                 wire.reader.ask();
@@ -337,6 +385,7 @@
             check(now.plusMillis(Long.parseLong(m.group(4))).compareTo(deadlines.get(id).plus(GRACE)) <= 0,
                     "a server is told more time than there is");
             out.add(link);
+            onSent.accept(wire.server);
         }
 
         /** Several answers may go out as one; each ends with ReadyForQuery, or with the connection. */
@@ -363,7 +412,7 @@
             String answer = served ? "ok" : text.replaceAll("(?s).*?\0C(\\w{5})\0.*", "$1");
             boolean write = outOn.containsKey(id) && writes.contains(id);
             check(!answer.equals("53300") || !write || outOn.get(id).isEmpty() && !mayHaveRun.contains(id),
-                    "rule 2: pushed back though it may have run");
+                    "rule 2: pushed back though it may have run ");
             answers.put(id, answer);
         }
 
@@ -515,8 +564,10 @@
     @Test
     void theListHeldStaysInForceWhileDiscoveryIsSilentOrTalksNonsense() {
         World w = World.serving();
+        w.talking = false;
         long first = w.discovery;
-        w.wait(1500);
+        w.wait(6100);
+        w.wait(400);
         assertFalse(first == w.discovery, "dialled again after silence");
         w.tell(g -> g.list().up(w.discovery));
         long second = w.discovery;
@@ -597,6 +648,87 @@
         assertEquals(back, w.discovery, "nothing changed");
     }
 
+    /**
+     * Rule 3: started in the middle of a roll, it sent by the list of its start to a server that drained
+     * since.
+     */
+    @Test
+    void nothingGoesOutByTheListOfItsStartUntilDiscoverySpeaks() {
+        World w = new World();
+        w.onSent = server -> check(!server.equals("s-1"), "rule 3: it drains");
+        w.wait(5);
+        w.answerProbes();
+        List<String> ids = new ArrayList<>();
+        for (int k = 0; k < 20; k++) {
+            ids.add(w.ask(w.connect(), k % 5 == 0, 500));
+        }
+        assertTrue(w.outOn.isEmpty(), "sent by a list that may be old");
+        long client = w.connect();
+        w.say(client, Replies.query(""));
+        assertTrue(w.wires.get(client).take().contains("C57P03"), "it is not ready");
+        w.wait(100);
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 2, false, "leaving");
+        for (int k = 0; k < 20; k++) {
+            w.asked().forEach(l -> w.answer(l, null));
+            w.wait(20);
+        }
+        assertTrue(ids.stream().allMatch(id -> "ok".equals(w.answers.get(id))), "held until then: "
+                + w.answers);
+        assertEquals(Gateway.Phase.SERVING, w.gateway.phase());
+    }
+
+    /** Rule 3: what discovery should have told counts as told in the end, whether it came or not. */
+    @Test
+    void nothingGoesOutOnceDiscoveryIsSilentForSoLongThatADrainMayBeOwed() {
+        World w = World.serving();
+        w.talking = false;
+        w.wait(7_500);
+        String id = w.ask(w.connect(), false, 500);
+        w.answerProbes();
+        w.asked().forEach(l -> w.answer(l, null));
+        assertEquals("ok", w.answers.get(id), "nothing can be owed yet");
+        w.wait(1_500);
+        id = w.ask(w.connect(), false, 500);
+        assertFalse(w.outOn.containsKey(id));
+        w.wait(400);
+        assertEquals("53300", w.answers.get(id));
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 3, true, "leaving");
+        w.wait(100);
+        w.answerProbes();
+        id = w.ask(w.connect(), false, 500);
+        w.answerProbes();
+        w.asked().forEach(l -> w.answer(l, null));
+        assertEquals("ok", w.answers.get(id));
+    }
+
+    /** Rule 5: decided within its bound and sent past it, as its connection took so long to come up. */
+    @Test
+    void aReadWhoseBoundPassesWhileItsConnectionComesUpIsDecidedAnew() {
+        World w = World.serving();
+        List.copyOf(w.wires.keySet()).stream().filter(n -> n < 0 && w.wires.get(n).port == 0
+                && w.wires.get(n).open)
+                .forEach(w::end);
+        w.wait(740);
+        w.silent.addAll(List.of("s-1", "s-2"));
+        String id = w.ask(w.connect(), false, 1000);
+        w.wait(60);
+        List<Long> slow = w.wires.keySet().stream().filter(n -> n < 0
+                && w.silent.contains(w.wires.get(n).server) && !w.wires.get(n).open && !w.wires.get(n).dropped).toList();
+        assertFalse(slow.isEmpty(), "a connection to a replica is on its way");
+        w.silent.clear();
+        slow.forEach(l -> {
+            w.wires.get(l).open = true;
+            w.tell(g -> g.links().up(l));
+            w.flush();
+        });
+        w.wait(60);
+        assertEquals("s-0", w.wires.get(on(w, id)).server, "only the primary is within the bound");
+        w.answer(on(w, id), null);
+        assertEquals("ok", w.answers.get(id));
+    }
+
     /** Rule 3: taken back to a list from before the drain, it sent to the drained server again. */
     @Test
     void anAddressOfDiscoveryThatIsBehindTakesNothingBack() {
@@ -708,7 +840,7 @@
 
     @Test
     void aPositionInTheFutureOrOfAbsurdSizeIsNoReport() {
-        World w = new World();
+        World w = World.listed();
         w.wait(5);
         List<String> absurd = List.of("x0=1e999999999,x1=1", "x0=1e-999999999,x1=1", "x0=9e18,x1=1",
                 "x0=" + (UNIX_MILLIS / 1000 + 9) + ",x1=1", "x0=1,x1=", "x0", "=", ",,,",
@@ -929,6 +1061,61 @@
         assertEquals(List.of("came", "came", "came", "due"), order);
     }
 
+    /**
+     * Rule 5: of many that were due together the last went by the time of the first; and one that is always
+     * due.
+     */
+    @Test
+    @Timeout(20)
+    void eachDueTimeIsMadeAtItsOwnTimeAndNoneForEver() {
+        World w = World.serving();
+        List<Duration> at = new ArrayList<>();
+        int[] again = {0};
+        w.gateway.at(w.now.plusMillis(1), () -> {
+            w.now = w.now.plusMillis(50);
+            at.add(w.gateway.now());
+        });
+        w.gateway.at(w.now.plusMillis(2), () -> at.add(w.gateway.now()));
+        Runnable[] always = new Runnable[1];
+        always[0] = () -> {
+            again[0]++;
+            w.now = w.now.plusNanos(1);
+            w.gateway.at(w.gateway.now().plusNanos(1), always[0]);
+        };
+        w.gateway.at(w.now.plusMillis(2), always[0]);
+        w.now = w.now.plusMillis(2);
+        w.loop.catchUp(w.gateway);
+        assertEquals(Duration.ofMillis(50), at.get(1).minus(at.get(0)));
+        assertEquals(1, again[0], "what asks for itself again waits its turn");
+    }
+
+    /** A turn without an end is told while it lasts, once, with its place. */
+    @Test
+    void aLongTurnIsToldWhileItLasts() throws InterruptedException {
+        Duration[] clock = {Duration.ZERO};
+        Loop loop = new Loop(() -> clock[0]);
+        Gateway gateway = World.serving().gateway;
+        List<String> lines = logged(Loop.class, () -> {
+            loop.lookAtTurn(Thread.currentThread());
+            loop.post(g -> {
+                clock[0] = Duration.ofSeconds(3);
+                loop.lookAtTurn(Thread.currentThread());
+                loop.lookAtTurn(Thread.currentThread());
+                g.stop();
+                g.at(g.now().plusSeconds(9), () -> { });
+                clock[0] = Duration.ofSeconds(30);
+            });
+            try {
+                loop.run(gateway);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            loop.lookAtTurn(Thread.currentThread());
+        });
+        assertEquals(1, lines.stream().filter(l -> l.startsWith("one turn has lasted over 2000 ms")
+                && l.contains("aLongTurnIsToldWhileItLasts")).count(), lines::toString);
+    }
+
     @Test
     void whatWasCutBeforeItsLastByteNeverRan() {
         World w = World.serving();
@@ -1312,6 +1499,10 @@
     }
 
     private static List<String> logged(Runnable life) {
+        return logged(Gateway.class, life);
+    }
+
+    private static List<String> logged(Class<?> by, Runnable life) {
         List<String> lines = new ArrayList<>();
         Handler handler = new StreamHandler() {
             @Override
@@ -1319,7 +1510,7 @@
                 lines.add(record.getMessage());
             }
         };
-        Logger log = Logger.getLogger(Gateway.class.getName());
+        Logger log = Logger.getLogger(by.getName());
         log.addHandler(handler);
         try {
             life.run();
@@ -1342,12 +1533,12 @@
         w.flush();
     }
 
-    private static String member(int k, String phase) {
+    static String member(int k, String phase) {
         return "{\"id\":\"s-" + k + "\",\"host_port\":\"127.0.0.1:" + (7000 + k)
                 + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"" + phase + "\",\"up_since_ms\":0}";
     }
 
-    private static byte[] config(String... changes) {
+    static byte[] config(String... changes) {
         String text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
                 + "\"seed\":\"8c1f\","
                 + "\"limits\":{\"sockets\":1024},\"peer_listen\":\"127.0.0.1:7946\","
@@ -1381,7 +1572,7 @@
         return ByteBuffer.allocate(5 + b.length).put((byte) type).putInt(4 + b.length).put(b).array();
     }
 
-    private static void check(boolean holds, String rule) {
+    static void check(boolean holds, String rule) {
         if (!holds) {
             throw new AssertionError(rule);
         }
--- /dev/null
+++ b/gateway/src/test/java/weldcross/gateway/ListWatchTest.java
@@ -0,0 +1,226 @@
+package weldcross.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import weldcross.gateway.GatewayTest.Wire;
+import weldcross.gateway.GatewayTest.World;
+
+/** Rule 3 against a model of two addresses of discovery, late, silent, behind, cut off or moved away from. */
+class ListWatchTest {
+
+    private static final Duration DRAIN = Duration.ofMillis(2050);
+    private static final Duration AFTER_RELOAD = Duration.ofSeconds(4);
+    /** An address that was moved away from closes what is open, and takes nothing new. */
+    private static final Duration CLOSES = Duration.ofMillis(1500);
+    private static final Duration WAITS = Duration.ofSeconds(5);
+    private static final Pattern ASKED = Pattern
+            .compile("GET /catalog/members(\\?since=(\\d+)&\\S*)? HTTP[\\s\\S]*");
+
+    /** One address: what it has of the list, and when it had it. */
+    private static final class Agent {
+        final TreeMap<Integer, Duration> had = new TreeMap<>();
+        boolean silent;
+
+        int has() {
+            return had.isEmpty() ? 1 : had.lastKey();
+        }
+    }
+
+    /** The list as it truly is, who knows it, and one gateway that lives, restarts and is watched. */
+    private static final class Model {
+        final SplittableRandom dice;
+        /**
+         * Each change's server and whether it drains from then on; the first stands for the list of the
+         * start.
+         */
+        final List<Integer> servers = new ArrayList<>(List.of(0, 0));
+        final List<Boolean> drains = new ArrayList<>(List.of(false, false));
+        final Agent[] agents = {null, new Agent(), new Agent()};
+        /** When each change counts as told to the gateway. */
+        final TreeMap<Integer, Duration> told = new TreeMap<>();
+        World w;
+        Duration before = Duration.ZERO, movedAt = Duration.ofDays(-1);
+        int at = 1, sent, held, delivered;
+
+        Model(long seed) {
+            dice = new SplittableRandom(seed);
+            begin(1);
+        }
+
+        Duration now() {
+            return w == null ? before : before.plus(w.now);
+        }
+
+        /** A process, which was left a list of this revision by the one before. */
+        void begin(int known) {
+            before = now();
+            String members = members(0, known, true);
+            byte[] config = new String(GatewayTest.config("\"revision\":1", "\"revision\":" + known,
+                    "127.0.0.1:1\"", "127.0.0.1:" + at + "\""), StandardCharsets.UTF_8)
+                    .replaceAll("(\"known\".*?\"members\":\\[).*?(\\]\\},\"settings\")",
+                            "$1" + members + "$2")
+                    .getBytes(StandardCharsets.UTF_8);
+            w = new World(config);
+            delivered = 0;
+            forgetUnheard();
+            w.onSent = this::check;
+        }
+
+        String members(int since, int until, boolean whole) {
+            return java.util.stream.IntStream.range(0, 3).filter(s -> whole
+                    || servers.subList(since + 1, until + 1).contains(s))
+                    .mapToObj(s -> GatewayTest.member(s, isDraining(s, until) ? "leaving" : "active"))
+                    .collect(Collectors.joining(","));
+        }
+
+        boolean isDraining(int server, int revision) {
+            int last = servers.subList(0, revision + 1).lastIndexOf(server);
+            return last >= 0 && drains.get(last);
+        }
+
+        /** What goes out goes to no server whose drain was told longer ago than it allows. */
+        void check(String server) {
+            sent++;
+            noteTold();
+            int s = server.charAt(2) - '0';
+            Duration limit = now().minus(DRAIN);
+            told.entrySet().stream().filter(e -> e.getValue().compareTo(limit) < 0)
+                    .mapToInt(e -> e.getKey()).max().ifPresent(r -> {
+                        boolean back = told.tailMap(r, false).keySet().stream().anyMatch(n ->
+                                servers.get(n) == s && !drains.get(n));
+                        GatewayTest.check(!isDraining(s, r) || back, "rule 3: sent at " + now()
+                                + " to " + server + ", whose drain was told by change " + r + " at " + told.get(r));
+                    });
+        }
+
+        /**
+         * What only an address has that is left, and that never spoke to this process, is nothing it could
+         * know.
+         */
+        void forgetUnheard() {
+            told.keySet().removeIf(r -> r > Math.max(delivered, agents[at].has()));
+        }
+
+        /**
+         * Whatever the address has that the gateway was told to ask; a move counts from four seconds later.
+         */
+        void noteTold() {
+            agents[at].had.forEach((revision, had) -> {
+                Duration moved = movedAt.plus(AFTER_RELOAD);
+                Duration counts = moved.compareTo(had) > 0 ? moved : had;
+                if (counts.compareTo(now()) <= 0) {
+                    told.merge(revision, counts, (a, b) -> a.compareTo(b) < 0 ? a : b);
+                }
+            });
+        }
+
+        void step() {
+            int kind = dice.nextInt(100);
+            if (kind < 22) {
+                servers.add(1 + dice.nextInt(2));
+                drains.add(dice.nextInt(3) > 0);
+            } else if (kind < 26) {
+                agents[1 + dice.nextInt(2)].silent ^= true;
+            } else if (kind < 30) {
+                noteTold();
+                at = 3 - at;
+                movedAt = now();
+                forgetUnheard();
+                w.reload(at);
+            } else if (kind < 36) {
+                open().stream().findFirst().ifPresent(this::cut);
+            } else if (kind < 38) {
+                noteTold();
+                begin(1 + dice.nextInt(agents[at].has()));
+            } else if (kind < 80) {
+                w.ask(w.connect(), dice.nextInt(4) == 0, 900);
+            }
+            for (Agent agent : List.of(agents[1], agents[2])) {
+                for (int r = agent.has() + 1; !agent.silent && dice.nextInt(3) > 0
+                        && r < servers.size(); r++) {
+                    agent.had.put(r, now());
+                }
+            }
+            discoverySpeaks();
+            if (dice.nextInt(3) > 0) {
+                w.asked().forEach(l -> w.answer(l, null));
+            }
+            for (int k = dice.nextInt(30) == 0 ? dice.nextInt(150) : 1; k > 0; k--) {
+                w.wait(1 + dice.nextInt(100));
+                discoverySpeaks();
+            }
+            held += w.list().stands() ? 0 : 1;
+        }
+
+        List<Long> open() {
+            return w.wires.entrySet().stream().filter(e -> e.getValue().port != 0 && !e.getValue().dropped)
+                    .map(e -> e.getKey()).toList();
+        }
+
+        void cut(long link) {
+            w.wires.get(link).dropped = true;
+            w.tell(g -> g.list().gone(link));
+        }
+
+        /**
+         * Everything that is asked is answered as soon as there is something to answer, by whoever is not
+         * silent.
+         */
+        void discoverySpeaks() {
+            for (long link : open()) {
+                Wire wire = w.wires.get(link);
+                Agent agent = agents[wire.port];
+                Duration stays = wire.open ? CLOSES : Duration.ZERO;
+                if (wire.port != at && now().minus(movedAt).compareTo(stays) >= 0) {
+                    cut(link);
+                    continue;
+                }
+                if (!wire.open) {
+                    wire.open = true;
+                    w.tell(g -> g.list().up(link));
+                }
+                for (Matcher m = ASKED.matcher(wire.received); !agent.silent && !wire.dropped && m.matches();
+                        m = ASKED.matcher(wire.received)) {
+                    int since = m.group(2) == null ? -1 : Integer.parseInt(m.group(2));
+                    wire.answeredAt = wire.answeredAt == null ? w.now : wire.answeredAt;
+                    if (since >= agent.has() && w.now.minus(wire.answeredAt).compareTo(WAITS) < 0) {
+                        break;
+                    }
+                    boolean whole = since < 0;
+                    String text = "{\"revision\":" + agent.has() + ",\"complete\":" + whole + ",\"members\":["
+                            + (since >= agent.has() ? "" : members(Math.max(0, since), agent.has(), whole))
+                            + "]}";
+                    wire.take();
+                    wire.answeredAt = w.now;
+                    delivered = Math.max(delivered, agent.has());
+                    for (int r = 2; r <= agent.has(); r++) {
+                        told.merge(r, now(), (a, b) -> a.compareTo(b) < 0 ? a : b);
+                    }
+                    w.tell(g -> g.list().answered(link, 200, text.getBytes(StandardCharsets.UTF_8)));
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+    void nothingGoesOutToAServerLaterThanItsDrainAllows(long seed) {
+        Model model = new Model(seed);
+        for (int step = 0; step < 1500; step++) {
+            model.step();
+        }
+        assertTrue(model.sent > 200, "too little was sent to show anything: " + model.sent);
+        assertTrue(model.held > 0 && model.held < 750, "the list lapsed in " + model.held + " steps");
+    }
+}
--- a/gateway/src/test/java/weldcross/routing/Rig.java
+++ b/gateway/src/test/java/weldcross/routing/Rig.java
@@ -66,6 +66,7 @@
     int watches;
     int dueAsks;
     int forgotten;
+    private boolean listStands = true;
     private int named;
 
     Rig(ServiceTerms terms, long seed) {
@@ -224,6 +225,15 @@
                 now.minus(sent.at), speaks ? aliveSince : null, speaks ? sent.server.primary : null, null, entry.answers > 0);
     }
 
+    boolean mayStillGo(Sent sent) {
+        return router.mayStillGo(now, new RpcId(sent.rpc), sent.number);
+    }
+
+    void listStands(boolean stands) {
+        listStands = stands;
+        router.listStands(now, stands);
+    }
+
     /** Answers what has been out for that long. */
     void serve(Duration age) {
         List.copyOf(out).stream().filter(s -> s.at().plus(age).compareTo(now) <= 0)
@@ -260,6 +270,7 @@
                 || now.minus(e.firstSent).compareTo(e.row.window()) < 0,
                 "rule 2: sent again after the window");
         check(server.group.equals(e.group), "outside its group");
+        check(listStands, "rule 3: sent by a list that may lack a drain");
         check(server.told == Condition.ON, "rule 3: sent to a server that drains or is gone");
         boolean stale = !server.toldPrimary && switch (e.row.need()) {
             case BOUNDED -> server.toldPos == null || now.minus(server.toldPos).compareTo(BOUND) >= 0;
@@ -363,6 +374,8 @@
             list();
         } else if (what < 93) {
             router.listFailed(now);
+        } else if (what < 94) {
+            listStands(dice.nextInt(4) > 0);
         } else {
             wait(ms(dice.nextInt(60)));
         }
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static weldcross.routing.Rig.ms;
 
@@ -101,6 +102,40 @@
         assertTrue(rig.only(read).server().primary);
     }
 
+    /**
+     * Rule 5: a dial lies between a decision and its send; whatever it was decided by may be over by then.
+     */
+    @Test
+    void whatWasDecidedHoldsNoLongerThanItsReasons() {
+        Rig rig = Rig.settled();
+        rig.wait(Rig.BOUND.minus(ms(1)));
+        Rig.Sent read = rig.only(rig.arrive(Need.BOUNDED, 0, Duration.ZERO));
+        assertTrue(rig.mayStillGo(read));
+        rig.wait(ms(1));
+        assertFalse(rig.mayStillGo(read), "its bound has passed");
+        rig.report(read.server(), rig.now);
+        assertTrue(rig.mayStillGo(read), "a newer position is known");
+        rig.listStands(false);
+        assertFalse(rig.mayStillGo(read), "its drain may be owed");
+        rig.listStands(true);
+        Rig.Sent write = rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO));
+        assertTrue(rig.mayStillGo(write));
+        write.server().told = Condition.DRAINING;
+        rig.list();
+        assertFalse(rig.mayStillGo(write), "it drains");
+    }
+
+    /** Answers in no time at all made an overdue look ask for itself in the same moment, for ever. */
+    @Test
+    void answersInNoTimeLeaveNoDueTimeInTheSameMoment() {
+        Rig rig = Rig.settled();
+        for (int k = 0; k < 2000; k++) {
+            rig.end(rig.only(rig.arrive(Need.ANY, 0, Duration.ZERO)), Outcome.OK);
+        }
+        rig.arrive(Need.ANY, 0, Duration.ZERO);
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> rig.wait(ms(100)));
+    }
+
     /** Probes that no read needs: where none come, a known position is left to grow old. */
     @Test
     void onlyTheReplicaThatAReadWouldGoToIsProbed() {
