--- a/gateway/src/main/java/weldcross/gateway/ListWatch.java
+++ b/gateway/src/main/java/weldcross/gateway/ListWatch.java
@@ -8,6 +8,7 @@
 import java.util.logging.Logger;
 import weldcross.discovery.ListTerm;
 import weldcross.discovery.ListedMember;
+import weldcross.routing.Condition;
 import weldcross.terms.FaultyTerm;
 import weldcross.terms.GatewayTerms;
 import weldcross.terms.NamedValues;
@@ -135,7 +136,7 @@
         }
         try {
             NamedValues told = NamedValues.ofJson(text);
-            talk.since = isBehind(talk, told) ? told.whole("revision", -1, 0) : take(told);
+            talk.since = isBehind(talk, told) ? takeDrains(told) : take(told);
         } catch (FaultyTerm e) {
             talk.fail(e.getMessage());
             return;
@@ -181,6 +182,13 @@
         return stays || talk.askWhole && !told.flag("complete", false);
     }
 
+    /** Of what is behind only drains count: should it count anew, they are news; else they are known or over. */
+    private long takeDrains(NamedValues told) {
+        gateway.listed(false, ListedMember.read(told, terms.zones()).stream()
+                .filter(m -> m.condition() != Condition.ON).toList());
+        return told.whole("revision", -1, 0);
+    }
+
     private Talk talk(long number) {
         return current != null && current.link == number ? current
                 : next != null && next.link == number ? next : null;
--- a/gateway/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/gateway/src/test/java/weldcross/gateway/GatewayTest.java
@@ -760,6 +760,17 @@
         assertTrue(serversOf(w, 40).contains("s-1"));
     }
 
+    /** Rule 3: an address that counts otherwise looks behind, and what it says of drains is news. */
+    @Test
+    void aDrainToldByAnAddressThatLooksBehindCounts() {
+        World w = World.serving();
+        list(w, 42, true, "active");
+        w.reload(2);
+        w.tell(g -> g.list().up(w.discovery));
+        list(w, 7, true, "leaving");
+        assertFalse(serversOf(w, 40).contains("s-1"), "sent to a server that drains");
+    }
+
     private static Set<String> serversOf(World w, int rpcs) {
         Set<String> servers = new HashSet<>();
         long client = w.connect();
