--- a/gateway/src/test/java/weldcross/storage/RecordLogTest.java
+++ b/gateway/src/test/java/weldcross/storage/RecordLogTest.java
@@ -280,6 +280,28 @@
         assertEquals(60, kept.last);
     }
 
+    /** The records it stands for are gone, so a snapshot that cannot be read may not be passed over. */
+    @Test
+    void aWrongByteInASnapshotIsDamage() throws IOException {
+        FaultyDisk disk = new FaultyDisk(1);
+        RecordLog log = open(disk, new Kept());
+        commit(log, 3);
+        log.snapshot(2, ByteBuffer.allocate(8).putLong(2).flip());
+        String name = disk.names().last();
+        byte[] whole = disk.bytes(name);
+        for (int at = 0; at < whole.length; at++) {
+            byte[] bytes = whole.clone();
+            bytes[at] ^= 0x10;
+            FaultyDisk wrong = disk.copy();
+            wrong.set(name, bytes);
+            assertThrows(RecordLog.Damaged.class, () -> open(wrong, new Kept()));
+            FaultyDisk cut = disk.copy();
+            cut.set(name, Arrays.copyOf(whole, at));
+            assertThrows(RecordLog.Damaged.class, () -> open(cut, new Kept()));
+        }
+        assertEquals(3, reopened(disk).last);
+    }
+
     @Test
     void aDirectoryBelongsToOneAtATime(@TempDir Path directory) throws IOException {
         try (Disk disk = PlainDisk.at(directory.resolve("a").resolve("b"))) {
