Router: late repeats, servers turned cold and older claims of a primary no longer get RPCs

What was not counted as sent to a cold server is decided again. - Rule 5: an answer that says 'replica' took the primary's seat away, but a load report from before it (they are up to 0.3 s old) gave it back, and reads without a fresh replica went there, though an answer had told that it was none. Claims from before the newest word to the contrary no longer count.

Tests: RouterTest.aRepeatThatWaitedForItsConnectionGoesOnlyWhileRepeatsAreDropped, whatWaitsForItsConnectionDoesNotReachAServerThatTurnedCold, aClaimFromBeforeAnAnswerDoesNotMakeAReplicaThePrimaryAgain.

--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -82,7 +82,9 @@
         final Group group;
         final ZoneId zone;
         boolean listed, draining, probing, doubted;
-        Duration start, toldAt, coldSince, chilledAt, coldBefore, goneAt, pos, primaryAsOf, probedAt, trialAt;
+        Duration start, toldAt, coldSince, chilledAt, coldBefore, goneAt, pos, probedAt, trialAt;
+        /** As of when it was last known to be the primary, and to be none. */
+        Duration primaryAsOf, replicaAsOf;
         int reads, strikes, deaf;
         /** Among equals the least goes first; most picks of a gateway that sees little are among equals. */
         double order;
@@ -114,7 +116,8 @@
         Duration nextRound = Duration.ZERO;
     }
 
-    private record CallOut(Rpc rpc, Seat seat, int number, Duration sent, double work) {
+    /** @param paced whether it was counted against what its server may get while cold */
+    private record CallOut(Rpc rpc, Seat seat, int number, Duration sent, double work, boolean paced) {
         @Override
         public int hashCode() {
             return rpc.id.hashCode();
@@ -269,14 +272,19 @@
     }
 
     /**
-     * Whether a call-out that is decided, but waited for its connection, may still be sent: against a bound
-     * that passed meanwhile, a primary that is none any more, a drain, a list that lapsed. What must not
-     * goes on as never sent.
+     * Whether a call-out that is decided may be written now, as its connection may have had to come up first
+     * or the process may have stood still: against a bound that passed meanwhile, a primary that is none any
+     * more, a drain, a list that lapsed, repeats that are dropped no longer, a server that turned cold. What
+     * must not goes on as never sent.
      */
     public boolean mayStillGo(Duration now, RpcId id, int number) {
         Rpc rpc = open.get(id);
-        Seat seat = rpc.callOuts.get(number).seat;
-        return !rpc.answered && listStands && seat.listed && !seat.draining && (rpc.row.need() == Need.WRITE
+        CallOut callOut = rpc.callOuts.get(number);
+        Seat seat = callOut.seat;
+        boolean repeatKnown = rpc.row.effect() != Effect.TOKENED || rpc.out == 1 && !rpc.mayHaveRun
+                || repeatsDropped(now, rpc);
+        return !rpc.answered && listStands && seat.listed && !seat.draining && repeatKnown
+                && (callOut.paced || !cold(now, seat)) && (rpc.row.need() == Need.WRITE
                 || seat == rpc.group.primary || holds(now, rpc, seat));
     }
 
@@ -359,16 +367,22 @@
         boolean first = !group.heard;
         group.heard = true;
         Seat before = group.primary;
-        if (Boolean.TRUE.equals(primary)) {
+        // Against a claim that comes in behind a newer word, as reports do: reads would go to a replica.
+        boolean claim = Boolean.TRUE.equals(primary)
+                && (seat.replicaAsOf == null || pos.compareTo(seat.replicaAsOf) >= 0);
+        if (claim) {
             seat.primaryAsOf = later(seat.primaryAsOf, pos);
             if (before == null || before.primaryAsOf == null || pos.compareTo(before.primaryAsOf) > 0) {
                 group.primary = seat;
             }
-        } else if (primary != null && seat == before && (answer || seat.primaryAsOf == null
-                || pos.compareTo(seat.primaryAsOf) >= 0)) {
+        } else if (Boolean.FALSE.equals(primary)) {
+            seat.replicaAsOf = later(seat.replicaAsOf, answer ? now : pos);
             // A primary stands at the present, so a report from behind its own claim is older than the claim.
-            seat.primaryAsOf = null;
-            group.primary = null;
+            boolean newer = answer || seat.primaryAsOf == null || pos.compareTo(seat.primaryAsOf) >= 0;
+            if (seat == before && newer) {
+                seat.primaryAsOf = null;
+                group.primary = null;
+            }
         }
         seat.pos = later(seat.pos, pos);
         if (first || group.primary != before) {
@@ -586,13 +600,14 @@
             return;
         }
         rpc.group.held.remove(rpc);
-        CallOut callOut = new CallOut(rpc, seat, rpc.callOuts.size(), now, work(rpc.method));
+        boolean paced = cold(now, seat);
+        CallOut callOut = new CallOut(rpc, seat, rpc.callOuts.size(), now, work(rpc.method), paced);
         rpc.callOuts.add(callOut);
         rpc.out++;
         rpc.tried.add(seat);
         seat.out.add(callOut);
         seat.reads += rpc.row.need() == Need.WRITE ? 0 : 1;
-        if (cold(now, seat)) {
+        if (paced) {
             // Of what is unused a quarter of the fall window's part may be saved up, or one call-out.
             Duration gap = coldGap(now, seat, rpc.method);
             Duration saved = now.minus(later(gap, terms.fallWindow().dividedBy(4)));
@@ -700,11 +715,16 @@
         boolean risk = rpc.out > 0 || rpc.mayHaveRun;
         return !limited && (!risk || switch (rpc.row.effect()) {
             case IDEMPOTENT -> true;
-            case TOKENED -> now.minus(rpc.callOuts.get(0).sent).compareTo(rpc.row.window()) < 0;
+            case TOKENED -> repeatsDropped(now, rpc);
             case NON_IDEMPOTENT -> false;
         });
     }
 
+    /** Counted from the first send, which is the earliest that may have run. */
+    private static boolean repeatsDropped(Duration now, Rpc rpc) {
+        return now.minus(rpc.callOuts.get(0).sent).compareTo(rpc.row.window()) < 0;
+    }
+
     /** A repeat of a tokened RPC is known in its group, which all sends stay in, or only in its zone. */
     private boolean knowsRepeats(Rpc rpc, Seat seat) {
         return rpc.row.effect() != Effect.TOKENED || rpc.row.scope() != MethodRow.Scope.ZONE
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -125,6 +125,56 @@
         assertFalse(rig.mayStillGo(write), "it drains");
     }
 
+    /** Rule 2: a repeat whose connection comes up late would reach a group that drops its repeats no longer. */
+    @Test
+    void aRepeatThatWaitedForItsConnectionGoesOnlyWhileRepeatsAreDropped() {
+        Rig rig = Rig.settled(Rig.terms(Effect.TOKENED, Scope.GROUP, true, true, false));
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        assertTrue(rig.mayStillGo(rig.only(write)), "the first send needs nobody to know a repeat");
+        rig.wait(ms(850));
+        rig.end(rig.only(write), Outcome.CUT);
+        rig.wait(ms(30));
+        Rig.Sent repeat = rig.only(write);
+        assertTrue(rig.mayStillGo(repeat));
+        rig.wait(ms(19));
+        assertTrue(rig.mayStillGo(repeat));
+        rig.wait(ms(1));
+        assertFalse(rig.mayStillGo(repeat), "900 ms after the first send");
+    }
+
+    /** Rule 4: what was decided for a warm server and waits is in nobody's count once it starts anew. */
+    @Test
+    void whatWaitsForItsConnectionDoesNotReachAServerThatTurnedCold() {
+        Rig rig = Rig.settled();
+        Rig.Sent read = rig.only(rig.arrive(Need.ANY, 0, Duration.ZERO));
+        assertTrue(rig.mayStillGo(read));
+        read.server().start = rig.now;
+        rig.list();
+        assertFalse(rig.mayStillGo(read));
+    }
+
+    /** Rule 5: a report is some 0.2 s old when it comes; behind an answer it may tell of what is over. */
+    @Test
+    void aClaimFromBeforeAnAnswerDoesNotMakeAReplicaThePrimaryAgain() {
+        Rig rig = Rig.settled();
+        Rig.Server once = rig.server(0);
+        Rig.Sent write = rig.only(rig.arrive(Need.WRITE, 0, Duration.ZERO));
+        rig.wait(ms(100));
+        Duration claimed = rig.now;
+        rig.wait(ms(100));
+        once.primary = false;
+        rig.end(write, Outcome.MISS);
+        rig.wait(ms(20));
+        rig.router.reported(rig.now, once.id, claimed, true);
+        rig.wait(Rig.BOUND);
+        String read = rig.arrive(Need.BOUNDED, 0, Duration.ZERO);
+        rig.wait(ms(60));
+        assertEquals(0, rig.rpcs.get(read).sent, "the rig knows that nobody holds its bound");
+        once.primary = true;
+        rig.report(once, rig.now);
+        assertEquals("s0", rig.only(read).server().id.name(), "a claim from after it counts");
+    }
+
     /** Answers in no time at all made an overdue look ask for itself in the same moment, for ever. */
     @Test
     void answersInNoTimeLeaveNoDueTimeInTheSameMoment() {
