--- a/gateway/src/main/java/weldcross/discovery/HttpReader.java
+++ b/gateway/src/main/java/weldcross/discovery/HttpReader.java
@@ -5,7 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
-/** Responses of HTTP/1.1, however the stream is split: by length or in chunks. */
+/**
+ * Responses of HTTP/1.1, however the stream is split: by length, in chunks, or up to the end of the connection.
+ */
 public final class HttpReader {
 
     private static final int LONGEST_LINE = 8_192;
@@ -25,7 +27,7 @@
         }
     }
 
-    private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
+    private enum Part { STATUS, HEADERS, BODY, BODY_TO_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
 
     private final Sink sink;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -33,7 +35,7 @@
     private Part part = Part.STATUS;
     private int status;
     private int left;
-    private boolean chunked;
+    private boolean chunked, sized;
 
     public HttpReader(Sink sink) {
         this.sink = sink;
@@ -53,6 +55,15 @@
                 }
                 continue;
             }
+            if (part == Part.BODY_TO_END) {
+                if (in.remaining() > LONGEST_BODY - body.size()) {
+                    throw new Malformed("a body without an end");
+                }
+                byte[] rest = new byte[in.remaining()];
+                in.get(rest);
+                body.writeBytes(rest);
+                continue;
+            }
             byte b = in.get();
             if (b != '\n') {
                 line.write(b);
@@ -67,6 +78,13 @@
         }
     }
 
+    /** The connection has ended in order, which ends a body that named no length; after a reset nothing is whole. */
+    public void ended() {
+        if (part == Part.BODY_TO_END) {
+            done();
+        }
+    }
+
     private void line(String text) throws Malformed {
         switch (part) {
             case STATUS -> {
@@ -77,6 +95,7 @@
                 status = number(words[1], 10, 999);
                 left = 0;
                 chunked = false;
+                sized = false;
                 part = Part.HEADERS;
             }
             case HEADERS -> {
@@ -89,6 +108,7 @@
                 String value = text.substring(colon + 1).strip();
                 if (name.equals("content-length")) {
                     left = number(value, 10, LONGEST_BODY);
+                    sized = true;
                 } else if (name.equals("transfer-encoding")) {
                     chunked = value.equalsIgnoreCase("chunked");
                 }
@@ -108,8 +128,9 @@
     }
 
     private void afterHeaders() {
-        part = chunked ? Part.CHUNK_SIZE : Part.BODY;
-        if (!chunked && left == 0) {
+        boolean without = status < 200 || status == 204 || status == 304;
+        part = chunked ? Part.CHUNK_SIZE : sized || without ? Part.BODY : Part.BODY_TO_END;
+        if (part == Part.BODY && left == 0) {
             done();
         }
     }
--- a/gateway/src/main/java/weldcross/discovery/ListTerm.java
+++ b/gateway/src/main/java/weldcross/discovery/ListTerm.java
@@ -12,9 +12,14 @@
 public final class ListTerm {
 
     /**
-     * What a call that may wait should have brought counts as told so long after its wait. From the protocol.
+     * What discovery has, and could be asked for, counts as told after this time, whatever became of the calls.
+     * From the protocol, which allows more to a watch that waits longer, but not once it was given up.
      */
-    private static final Duration TOLD_AFTER_WAIT = Duration.ofSeconds(2);
+    private static final Duration TOLD_AT_LATEST = Duration.ofSeconds(6);
+    /** Of that time a watch leaves so much, in graces, to find that it was silent and to ask anew. */
+    private static final int GRACES_LEFT = 2;
+    /** A watch waits for this part of that time at least, as each one is a call. */
+    private static final int LEAST_PART = 4;
     /** A call that comes later than this after the last answer is a new watch. From the protocol. */
     private static final Duration SAME_WATCH = Duration.ofMillis(200);
 
@@ -27,12 +32,22 @@
     }
 
     /**
-     * Discovery spoke, and a call is written to it in this same moment.
+     * How long a watch may wait for news, so that one that fell silent is found, and the list asked for anew,
+     * before what it missed counts as told.
      *
-     * @param waits how long that call waits for news
+     * @param most what the service allows
+     * @param grace how long an answer may take beyond what it waits for, and a dial at most
      */
-    public void spoke(Duration now, Duration waits) {
-        end = now.plus(waits).plus(TOLD_AFTER_WAIT).plus(stopSending);
+    public static Duration watch(Duration most, Duration grace) {
+        Duration least = TOLD_AT_LATEST.dividedBy(LEAST_PART);
+        Duration safe = TOLD_AT_LATEST.minus(grace.multipliedBy(GRACES_LEFT));
+        Duration watch = safe.compareTo(least) > 0 ? safe : least;
+        return watch.compareTo(most) < 0 ? watch : most;
+    }
+
+    /** Discovery spoke, and a call is written to it in this same moment. */
+    public void spoke(Duration now) {
+        end = now.plus(TOLD_AT_LATEST).plus(stopSending);
     }
 
     /**
--- a/gateway/src/main/java/weldcross/gateway/Effects.java
+++ b/gateway/src/main/java/weldcross/gateway/Effects.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 
 /**
  * What the reducer asks of the world. Each is begun at once and never waits; what comes of it comes back as
@@ -9,6 +10,9 @@
  */
 interface Effects {
 
+    /** The clock as it stands; within a turn of the reducer its own time does not move, however long that lasts. */
+    Duration now();
+
     void listen(InetSocketAddress at);
 
     /** Talks to itself as a client, so that its sockets are quick before others use them; told when done. */
@@ -23,8 +27,12 @@
 
     void dialDiscovery(long link, InetSocketAddress to);
 
-    /** Writes the parts as one, from where they are; they must not change afterwards. */
-    void write(long connection, ByteBuffer... parts);
+    /**
+     * Writes the parts as one, from where they are; they must not change afterwards.
+     *
+     * @return whether all of it is out already; where it is not, an event tells when it is
+     */
+    boolean write(long connection, ByteBuffer... parts);
 
     /** Reads on, or lets what comes wait in the network. */
     void read(long connection, boolean on);
@@ -36,12 +44,13 @@
     void drop(long connection);
 
     /**
-     * Ends a client's connection if no more than so many messages of it have been read, at the moment that all
-     * that has come in by now was; tells by an event whether it did.
+     * Ends sending to a client if no more than so many messages of it have been read and none has begun, at the
+     * moment that all that has come in by now was; tells by an event whether it did. What comes later is read
+     * and left, so that its connection is not reset under what it has not read yet, until it is dropped.
      */
     void part(long connection, int messages);
 
-    /** Ends a connection once all that was written to it is out. */
+    /** Ends sending once all that was written to it is out; what comes later is read and left. */
     void finish(long connection);
 
     void tellPeers(InetSocketAddress to, byte[] message);
--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -59,6 +60,12 @@
     /** Of those that one read may bring beyond these, more are not begun at all. */
     private static final int MOST_WAITING = 64;
 
+    /** A commit that is told in whole milliseconds may lie up to one later, and reads must see it. */
+    private static final Duration ONE_MILLI = Duration.ofMillis(1);
+    /** The least time since a write: none at all would say that there was none. */
+    private static final Duration JUST_NOW = Duration.ofNanos(1);
+
+    private static final ByteBuffer CANCELLED = Replies.error("57014", "cancelled by its client", null);
     private static final ByteBuffer FAILED = Replies.error("58000", "failed, and may have run", null);
     private static final Duration STATE_APART = Duration.ofSeconds(1);
     private static final BigDecimal MOST_NANOS = BigDecimal.valueOf(Long.MAX_VALUE);
@@ -68,6 +75,8 @@
     /** A client's connection: what it asks is worked side by side and answered in its order. */
     private static final class Client {
         final long number;
+        /** Who names it may cancel what this client waits for. */
+        final int secret;
         /** What it asked that is not begun, and what is begun and has not gone out. */
         final ArrayDeque<Consumer<Turn>> waiting = new ArrayDeque<>(2);
         final ArrayDeque<Turn> turns = new ArrayDeque<>(2);
@@ -77,8 +86,9 @@
         int words;
         Duration idleSince;
 
-        Client(long number, Duration now) {
+        Client(long number, int secret, Duration now) {
             this.number = number;
+            this.secret = secret;
             this.idleSince = now;
         }
 
@@ -135,12 +145,13 @@
 
         @Override
         ByteBuffer[] message() {
-            return rpc.statement.withWait(Math.max(1, until.minus(now).toMillis()));
+            return rpc.statement.withWait(Math.max(1, until.minus(effects.now()).toMillis()));
         }
 
+        /** By the clock: a turn may have lasted, and a bound counts from the send. */
         @Override
         boolean mayGo() {
-            return router.mayStillGo(now, rpc.id, number);
+            return router.mayStillGo(effects.now(), rpc.id, number);
         }
 
         @Override
@@ -163,7 +174,8 @@
                 answer(rpc, answer.forClient());
             }
             Duration position = answer == null || answer.positionMillis() == 0 ? null
-                    : position(Duration.ofMillis(answer.positionMillis()));
+                    : position(Duration.ofMillis(answer.positionMillis()).plus(rpc.statement.isWrite()
+                    ? ONE_MILLI : Duration.ZERO));
             Boolean primary = answer == null ? null : answer.primary();
             noteRole(server, primary);
             router.callOutEnded(now, rpc.id, number, server, outcome, now.minus(sent), aliveSince,
@@ -218,6 +230,7 @@
     private final List<Part> parts = new ArrayList<>();
     private final DueTimes dues = new DueTimes();
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
+    private final SplittableRandom secrets;
     private final Map<Long, Client> clients = new LinkedHashMap<>();
     private final Map<RpcId, Rpc> rpcs = new LinkedHashMap<>();
     private final Map<ServerId, GroupId> groups = new LinkedHashMap<>();
@@ -237,8 +250,8 @@
     private long lastNumber;
     /** Clients that are about to lose their connection if they say nothing. */
     private int parting;
-    /** Of those that were told why their connections end, how many may still read it. */
-    private int leaving;
+    /** Those whose connections have ended from here and who may still read what they were told. */
+    private final Set<Long> leaving = new HashSet<>();
     private long taken, served, pushedBack, aborted, left;
 
     /**
@@ -249,6 +262,7 @@
         this.terms = terms;
         this.effects = effects;
         this.unixAtStart = unixAtStart;
+        this.secrets = new SplittableRandom(terms.seed()).split();
         // Three eighths each for clients and servers, an eighth is the process's own; what the other does not use
         // takes up crowds until room is made for them.
         this.mostClients = terms.sockets() * 3 / 8;
@@ -472,7 +486,7 @@
         if (quiet) {
             remove(client);
             leave(client);
-            stopIfDone();
+            linger(client);
         } else {
             awaitFirst(client);
             if (isClosing()) {
@@ -481,14 +495,19 @@
         }
     }
 
-    /** It was told why: nothing more is read or said, and it has a moment to read that. */
+    /** It was told why: nothing more of it counts, and it has a moment to read that. */
     private void farewell(Client client) {
         remove(client);
-        leaving++;
         effects.finish(client.number);
+        linger(client);
+    }
+
+    /** Nothing more is sent; until it ends its side, or its time is over, its connection is not reset. */
+    private void linger(Client client) {
+        leaving.add(client.number);
         at(now.plus(terms.connectTimeout()), () -> {
             effects.drop(client.number);
-            leaving--;
+            leaving.remove(client.number);
             stopIfDone();
         });
     }
@@ -501,9 +520,14 @@
         client.waiting.clear();
     }
 
-    /** A client that does not take its answer is waited for once more as long, and no longer. */
+    /** A client that does not take its last answer is waited for once more as long, and no longer. */
     private void stopIfDone() {
-        if (phase == Phase.STOPPED || !isClosing() || !rpcs.values().stream().allMatch(r -> r.answered)) {
+        if (phase == Phase.STOPPED || !isClosing()) {
+            return;
+        }
+        if (!rpcs.values().stream().allMatch(r -> r.answered)) {
+            // Whoever is answered after this has the same time to take it.
+            answeredAt = null;
             return;
         }
         if (!clients.isEmpty() && answeredAt == null) {
@@ -511,7 +535,7 @@
             at(now.plus(STILL_COMING), this::stopIfDone);
         }
         boolean waited = answeredAt != null && now.minus(answeredAt).compareTo(STILL_COMING) >= 0;
-        if ((clients.isEmpty() && leaving == 0 || waited) && parts.stream().allMatch(Part::isDone)) {
+        if ((clients.isEmpty() && leaving.isEmpty() || waited) && parts.stream().allMatch(Part::isDone)) {
             for (int k = parts.size() - 1; k >= 0; k--) {
                 parts.get(k).stop();
             }
@@ -535,7 +559,7 @@
     // ---- Clients
 
     void accepted(long number) {
-        Client client = new Client(number, now);
+        Client client = new Client(number, secrets.nextInt(), now);
         if (clients.size() - parting >= mostClients && !makeRoom()) {
             effects.write(number, Replies.fatal("53300", "too many clients"));
             farewell(client);
@@ -587,12 +611,13 @@
 
     void clientGone(long number) {
         Client client = clients.get(number);
-        if (client == null) {
-            return;
+        if (client != null) {
+            remove(client);
+            leave(client);
+        }
+        if (leaving.remove(number) || client != null) {
+            stopIfDone();
         }
-        remove(client);
-        leave(client);
-        stopIfDone();
     }
 
     private void leave(Client client) {
@@ -618,7 +643,27 @@
     }
 
     void clientStarted(long number) {
-        inTurn(number, turn -> answer(turn, Replies.welcome()));
+        inTurn(number, turn -> answer(turn, Replies.welcome((int) number, turn.client.secret)));
+    }
+
+    /**
+     * By a connection of its own, which ends with it: of whom it names, what is open longest ends as cancelled. That
+     * client has left it, and nothing more is sent for it.
+     */
+    void cancelAsked(long number, int process, int secret) {
+        clientEnded(number);
+        Client client = clients.get((long) process);
+        if (client == null || client.secret != secret) {
+            return;
+        }
+        client.turns.stream().map(turn -> turn.rpc).filter(rpc -> rpc != null && !rpc.answered).findFirst()
+                .ifPresent(rpc -> {
+                    left++;
+                    rpc.answered = true;
+                    router.clientLeft(now, rpc.id);
+                    answer(rpc, CANCELLED.duplicate());
+                    forget(rpc);
+                });
     }
 
     /** Answered as ready only once RPCs can be routed. */
@@ -676,6 +721,8 @@
         client.idleSince = now;
         next(client);
         if (isClosing()) {
+            // Who takes what it is told has as long for the rest of it.
+            answeredAt = null;
             closeIfDone(client);
             stopIfDone();
         }
@@ -721,7 +768,9 @@
             client.turns.poll();
         }
         client.writing = true;
-        effects.write(client.number, parts.toArray(new ByteBuffer[0]));
+        if (effects.write(client.number, parts.toArray(new ByteBuffer[0]))) {
+            soon(() -> clientWritten(client.number));
+        }
     }
 
     private void answer(Turn turn, ByteBuffer... parts) {
@@ -761,6 +810,7 @@
     private void take(Turn turn, Statement statement, RpcId id, int method, GroupId group,
             Duration patience) {
         Rpc rpc = new Rpc(id, turn, statement, now.plus(patience));
+        answeredAt = null;
         taken++;
         rpcs.put(id, rpc);
         LOG.fine(() -> "rpc " + id.name() + ": taken, " + statement.method() + " of group " + group.number() + ", "
@@ -768,9 +818,10 @@
         Need need = terms.service().methods().get(method).need();
         boolean inSession = need == Need.WRITE || need == Need.SESSION;
         long after = statement.afterMillis();
-        Duration sinceWrite = after == 0 ? Duration.ZERO : now.minus(since(after));
+        Duration sinceWrite = now.minus(since(after)).minus(ONE_MILLI);
         router.rpcArrived(now, id, method, group, inSession ? new SessionId(statement.key()) : null,
-                sinceWrite.isNegative() ? Duration.ZERO : sinceWrite, patience, statement.isRepeat());
+                after == 0 ? Duration.ZERO : sinceWrite.compareTo(JUST_NOW) < 0 ? JUST_NOW : sinceWrite, patience,
+                statement.isRepeat());
     }
 
     private void answer(Rpc rpc, ByteBuffer... parts) {
--- a/gateway/src/main/java/weldcross/gateway/GatheringProcessor.java
+++ b/gateway/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -22,12 +22,15 @@
 
     private static final String CHANNEL = "channel";
 
+    private final Runnable roundEnds;
     private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
     /** Those that waited before the round of reading that is under way. */
     private final List<Runnable> round = new ArrayList<>();
 
-    GatheringProcessor(Executor executor) {
+    /** @param roundEnds called, on its own thread, when all that one round found ready has been read */
+    GatheringProcessor(Executor executor, Runnable roundEnds) {
         super(executor);
+        this.roundEnds = roundEnds;
     }
 
     /** Runs this, on its own thread, once all that has come in by now has been read. */
@@ -38,8 +41,10 @@
 
     @Override
     protected int select(long timeout) throws Exception {
+        roundEnds.run();
         round.forEach(Runnable::run);
         round.clear();
+        roundEnds.run();
         for (Runnable next = waiting.poll(); next != null; next = waiting.poll()) {
             round.add(next);
         }
@@ -72,12 +77,6 @@
         }
     }
 
-    /** Reads no more of it and ends it within this round of the processor, on whose thread this is called. */
-    static void close(IoSession session) {
-        session.suspendRead();
-        session.closeNow();
-    }
-
     /** True if all of it went out; what did not is what the parts have left. */
     static boolean writeNow(IoSession session, ByteBuffer... parts) {
         SocketChannel channel = (SocketChannel) session.getAttribute(CHANNEL);
--- a/gateway/src/main/java/weldcross/gateway/ListWatch.java
+++ b/gateway/src/main/java/weldcross/gateway/ListWatch.java
@@ -39,8 +39,8 @@
         this.gateway = gateway;
         this.effects = effects;
         this.terms = terms;
-        this.watch = terms.service().askWithin().dividedBy(2);
         this.grace = terms.connectTimeout().multipliedBy(4);
+        this.watch = ListTerm.watch(terms.service().askWithin().dividedBy(2), grace);
         this.term = new ListTerm(terms.stopSending());
     }
 
@@ -142,7 +142,7 @@
             return;
         }
         talk.answered = true;
-        term.spoke(gateway.now(), watch);
+        term.spoke(gateway.now());
         if (talk == next) {
             if (current != null) {
                 current.end();
@@ -221,7 +221,7 @@
         boolean up, answered, askWhole;
         /** When its connection ended between two watches; null where it is open. */
         Duration lostAt;
-        /** Since when it has told only what is older than what is held; null where it has not. */
+        /** Since when, without a break, it has told only what is older than what is held; null where it has not. */
         Duration behindSince;
 
         Talk(InetSocketAddress address) {
@@ -288,6 +288,8 @@
         void end() {
             asked++;
             since = -1;
+            // Down for a while it learns nothing: only while it speaks does being behind show that it counts anew.
+            behindSince = null;
             effects.drop(link);
             link = 0;
         }
--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -23,7 +23,6 @@
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import weldcross.discovery.HttpReader;
 import weldcross.peers.PeerWord;
-import weldcross.pgwire.ClientReader;
 import weldcross.pgwire.Replies;
 import weldcross.pgwire.ServerReader;
 import weldcross.routing.ServerId;
@@ -31,36 +30,6 @@
 /** Performs the effects on Apache MINA; its threads only parse what comes and post it. */
 final class MinaEffects implements Effects {
 
-    /** What reads one connection's stream, on MINA's thread. */
-    private abstract static class Stream {
-        /** Messages asked for that are not out, and whether none comes after them. */
-        final AtomicInteger unwritten = new AtomicInteger();
-        volatile boolean last;
-
-        abstract void opened();
-
-        abstract void read(ByteBuffer in) throws HttpReader.Malformed;
-
-        /** Called by the thread that asks, before its words are written. */
-        void writing() {
-        }
-
-        void written() {
-        }
-
-        abstract void gone();
-
-        /** Messages told so far, by clients. */
-        int told() {
-            return 0;
-        }
-
-        /** Taken up and ended before it was known here. */
-        void dialReset() {
-            gone();
-        }
-    }
-
     private static final Logger LOG = Logger.getLogger(MinaEffects.class.getName());
     private static final String STREAM = "stream";
     private static final String NUMBER = "number";
@@ -71,6 +40,7 @@
 
     private final Loop loop;
     private final Supplier<Duration> clock;
+    private final Round round;
     private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
     private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
     private final GatheringProcessor processor;
@@ -88,9 +58,12 @@
             thread.setDaemon(true);
             return thread;
         });
-        processor = new GatheringProcessor(threads);
+        round = new Round(loop::post);
+        processor = new GatheringProcessor(threads, round::end);
         connector = new NioSocketConnector(threads, processor);
-        acceptor = new CappedAcceptor(threads, processor, mostOpen, connector::getManagedSessionCount);
+        // A dial that is under way holds a descriptor as well.
+        acceptor = new CappedAcceptor(threads, processor, mostOpen,
+                () -> connector.getManagedSessionCount() + dials.size());
         set(acceptor.getSessionConfig());
         set(connector.getSessionConfig());
         acceptor.setReuseAddress(true);
@@ -99,9 +72,7 @@
             @Override
             public void sessionCreated(IoSession session) {
                 long number = session.getId();
-                session.setAttribute(NUMBER, number);
-                session.setAttribute(STREAM, client(number));
-                sessions.put(number, session);
+                carry(session, number, new ClientStream(number, round, processor, clock));
             }
 
             @Override
@@ -228,12 +199,15 @@
         dial(link, to, discovery(link));
     }
 
+    private void carry(IoSession session, long number, Stream stream) {
+        stream.session = session;
+        session.setAttribute(NUMBER, number);
+        session.setAttribute(STREAM, stream);
+        sessions.put(number, session);
+    }
+
     private void dial(long number, InetSocketAddress to, Stream stream) {
-        ConnectFuture future = connector.connect(to, (session, f) -> {
-            session.setAttribute(NUMBER, number);
-            session.setAttribute(STREAM, stream);
-            sessions.put(number, session);
-        });
+        ConnectFuture future = connector.connect(to, (session, f) -> carry(session, number, stream));
         dials.put(number, future);
         future.addListener(f -> {
             dials.remove(number);
@@ -242,34 +216,38 @@
                 // Refused, unreachable and overdue have exceptions of their own kind.
                 stream.dialReset();
             } else if (!((ConnectFuture) f).isConnected()) {
-                stream.gone();
+                stream.notReached();
             }
         });
     }
 
     @Override
-    public void write(long connection, ByteBuffer... parts) {
+    public Duration now() {
+        return clock.get();
+    }
+
+    @Override
+    public boolean write(long connection, ByteBuffer... parts) {
         IoSession session = sessions.get(connection);
-        if (session != null) {
-            Stream stream = (Stream) session.getAttribute(STREAM);
-            stream.writing();
-            // Where nothing else waits to go out no other thread has to be woken for it.
-            if (stream.unwritten.get() == 0 && GatheringProcessor.writeNow(session, parts)) {
-                stream.written();
-            } else {
-                stream.unwritten.incrementAndGet();
-                session.write(new GatheredBuffer(parts));
-            }
+        if (session == null) {
+            return false;
+        }
+        Stream stream = (Stream) session.getAttribute(STREAM);
+        stream.writing();
+        // Where nothing else waits to go out no other thread has to be woken for it.
+        if (stream.unwritten.get() == 0 && GatheringProcessor.writeNow(session, parts)) {
+            return true;
         }
+        stream.unwritten.incrementAndGet();
+        session.write(new GatheredBuffer(parts));
+        return false;
     }
 
     @Override
     public void read(long connection, boolean on) {
         IoSession session = sessions.get(connection);
-        if (session != null && on) {
-            session.resumeRead();
-        } else if (session != null) {
-            session.suspendRead();
+        if (session != null) {
+            ((ClientStream) session.getAttribute(STREAM)).listen(on);
         }
     }
 
@@ -282,12 +260,13 @@
     public void part(long connection, int messages) {
         processor.afterReading(() -> {
             IoSession session = sessions.get(connection);
-            boolean quiet = session == null || ((Stream) session.getAttribute(STREAM)).told() <= messages;
-            if (session != null && quiet) {
-                sessions.remove(connection);
-                GatheringProcessor.close(session);
+            ClientStream stream = session == null ? null : (ClientStream) session.getAttribute(STREAM);
+            boolean quiet = stream == null || stream.isQuiet(messages);
+            if (stream != null && quiet) {
+                stream.endListening();
+                GatheringProcessor.endSending(session);
             }
-            loop.post(g -> g.parted(connection, quiet));
+            round.tell(g -> g.parted(connection, quiet));
         });
     }
 
@@ -311,8 +290,8 @@
     public void finish(long connection) {
         IoSession session = sessions.get(connection);
         if (session != null) {
-            Stream stream = (Stream) session.getAttribute(STREAM);
-            session.suspendRead();
+            ClientStream stream = (ClientStream) session.getAttribute(STREAM);
+            stream.endListening();
             stream.last = true;
             endIfOut(session, stream);
         }
@@ -325,42 +304,12 @@
         }
     }
 
-    private Stream client(long number) {
-        ClientReader reader = Streams.client(loop, clock, number);
-        return new Stream() {
-            @Override
-            void opened() {
-                loop.post(g -> g.accepted(number));
-            }
-
-            @Override
-            void read(ByteBuffer in) {
-                reader.feed(in);
-            }
-
-            @Override
-            int told() {
-                return reader.told();
-            }
-
-            @Override
-            void written() {
-                loop.post(g -> g.clientWritten(number));
-            }
-
-            @Override
-            void gone() {
-                loop.post(g -> g.clientGone(number));
-            }
-        };
-    }
-
     private Stream server(long number) {
-        ServerReader reader = Streams.server(loop, number);
+        ServerReader reader = Streams.server(round::tell, number);
         return new Stream() {
             @Override
             void opened() {
-                loop.post(g -> g.links().up(number));
+                round.tell(g -> g.links().up(number));
             }
 
             @Override
@@ -375,12 +324,17 @@
 
             @Override
             void written() {
-                loop.post(g -> g.links().written(number));
+                round.tell(g -> g.links().written(number));
             }
 
             @Override
             void gone() {
-                loop.post(g -> g.links().gone(number, reader.rest()));
+                round.tell(g -> g.links().gone(number, reader.rest()));
+            }
+
+            @Override
+            void notReached() {
+                loop.post(g -> g.links().gone(number, null));
             }
 
             @Override
@@ -406,6 +360,9 @@
 
             @Override
             void gone() {
+                if (!broken) {
+                    reader.ended();
+                }
                 loop.post(g -> g.list().gone(number));
             }
         };
@@ -445,6 +402,7 @@
         @Override
         public void exceptionCaught(IoSession session, Throwable cause) {
             // A peer's nonsense, or a broken network: the connection ends and its end is told.
+            stream(session).broken = true;
             LOG.fine(() -> "connection ended: " + cause);
             session.closeNow();
         }
--- a/gateway/src/main/java/weldcross/gateway/ServerLinks.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerLinks.java
@@ -25,6 +25,7 @@
         final InetSocketAddress address;
         Question question;
         boolean reached, up, begun;
+        /** Messages of which not every byte is known to be out. */
         int unwritten;
         /** Counts how far it has come: what was expected of an earlier step is expected no more. */
         int step, doubted = -1;
@@ -90,6 +91,10 @@
         }
         Duration rested = link == null ? null : gateway.now().minus(link.idleSince);
         if (link != null && rested.compareTo(settle) >= 0) {
+            if (!question.mayGo()) {
+                gateway.soon(() -> end(question, Outcome.NOT_SENT, null));
+                return;
+            }
             // What may be asked again tries whatever there is, so that it is learnt when all is well again.
             if (question.isBrief() || rests.mayCarry(rested)) {
                 rouse(link);
@@ -196,8 +201,13 @@
 
     void written(long number) {
         Link link = links.get(number);
-        if (link != null && --link.unwritten == 0 && (!link.up || link.question != null
-                && link.question.isBrief())) {
+        if (link != null && --link.unwritten == 0) {
+            allOut(link);
+        }
+    }
+
+    private void allOut(Link link) {
+        if (!link.up || link.question != null && link.question.isBrief()) {
             expect(link);
         }
     }
@@ -320,9 +330,16 @@
         question.link = link;
     }
 
+    /**
+     * What is out is known to be out before anything else can be told of its connection: an end that is told
+     * first would make of a write that ran one that never went out, and send it twice.
+     */
     private void write(Link link, ByteBuffer... parts) {
-        link.unwritten++;
-        effects.write(link.number, parts);
+        if (effects.write(link.number, parts)) {
+            allOut(link);
+        } else {
+            link.unwritten++;
+        }
     }
 
     /** For the log: connections by server, and how many of them carry a question. */
--- a/gateway/src/main/java/weldcross/gateway/Streams.java
+++ b/gateway/src/main/java/weldcross/gateway/Streams.java
@@ -1,6 +1,7 @@
 package weldcross.gateway;
 
 import java.time.Duration;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import weldcross.pgwire.ClientReader;
 import weldcross.pgwire.ServerAnswer;
@@ -13,71 +14,81 @@
     private Streams() {
     }
 
-    static ClientReader client(Loop loop, Supplier<Duration> clock, long number) {
+    /**
+     * @param tell takes what concerns this client alone
+     * @param always takes what concerns others, and counts though this one goes
+     */
+    static ClientReader client(Consumer<Gateway.Event> tell, Consumer<Gateway.Event> always,
+            Supplier<Duration> clock, long number) {
         return new ClientReader(new ClientReader.Sink() {
             @Override
             public void encryptionAsked() {
-                loop.post(g -> g.encryptionAsked(number));
+                tell.accept(g -> g.encryptionAsked(number));
             }
 
             @Override
             public void started() {
-                loop.post(g -> g.clientStarted(number));
+                tell.accept(g -> g.clientStarted(number));
             }
 
             @Override
             public void asked(Statement statement) {
                 Duration arrived = clock.get();
-                loop.post(g -> g.asked(number, statement, arrived));
+                tell.accept(g -> g.asked(number, statement, arrived));
             }
 
             @Override
             public void askedNothing() {
-                loop.post(g -> g.askedNothing(number));
+                tell.accept(g -> g.askedNothing(number));
             }
 
             @Override
             public void askedWrongly(String state, String text) {
-                loop.post(g -> g.askedWrongly(number, state, text));
+                tell.accept(g -> g.askedWrongly(number, state, text));
             }
 
             @Override
             public void begun() {
-                loop.post(g -> g.clientBegun(number));
+                tell.accept(g -> g.clientBegun(number));
             }
 
             @Override
             public void broke(String state, String text) {
-                loop.post(g -> g.clientBroke(number, state, text));
+                tell.accept(g -> g.clientBroke(number, state, text));
             }
 
             @Override
             public void ended() {
-                loop.post(g -> g.clientEnded(number));
+                tell.accept(g -> g.clientEnded(number));
+            }
+
+            @Override
+            public void cancelAsked(int process, int secret) {
+                always.accept(g -> g.cancelAsked(number, process, secret));
             }
         });
     }
 
-    static ServerReader server(Loop loop, long number) {
+    static ServerReader server(Consumer<Gateway.Event> tell, long number) {
         return new ServerReader(new ServerReader.Sink() {
             @Override
             public void ready() {
-                loop.post(g -> g.links().ready(number));
+                tell.accept(g -> g.links().ready(number));
             }
 
             @Override
             public void answered(ServerAnswer answer, boolean more) {
-                loop.post(g -> g.links().answered(number, answer, more));
+                tell.accept(g -> g.links().answered(number, answer, more));
             }
 
             @Override
             public void begun() {
-                loop.post(g -> g.links().begun(number));
+                tell.accept(g -> g.links().begun(number));
             }
 
             @Override
             public void spoilt(String why) {
-                loop.post(g -> g.links().spoilt(number, why));
+                tell.accept(g -> g.links().spoilt(number, why));
             }
         });
     }
--- a/gateway/src/main/java/weldcross/gateway/WarmUp.java
+++ b/gateway/src/main/java/weldcross/gateway/WarmUp.java
@@ -29,7 +29,7 @@
     private final Logger log = Logger.getLogger(Gateway.class.getPackageName());
     private final Loop loop = new Loop(() -> this.now);
     private final Map<Long, ServerReader> servers = new HashMap<>();
-    private final ClientReader client = Streams.client(loop, () -> this.now, ONLY_CLIENT);
+    private final ClientReader client = Streams.client(loop::post, loop::post, () -> this.now, ONLY_CLIENT);
     private final Gateway gateway;
     private Duration now = Duration.ZERO;
     private int served;
@@ -67,29 +67,33 @@
     }
 
     @Override
-    public void write(long connection, ByteBuffer... parts) {
+    public Duration now() {
+        return now;
+    }
+
+    @Override
+    public boolean write(long connection, ByteBuffer... parts) {
         if (connection > 0) {
             served += parts[0].get(0) == 'T' ? 1 : 0;
-            loop.post(g -> g.clientWritten(connection));
-            return;
+            return true;
         }
         ServerReader server = servers.get(connection);
         if (server == null) {
-            return;
+            return true;
         }
         server.ask();
-        loop.post(g -> g.links().written(connection));
         // The startup message has no type; of queries the first two letters tell which it is.
         ByteBuffer text = parts[0].remaining() > 5 ? parts[0].slice(5, 2) : parts[1];
         long unix = now.toMillis();
         server.feed(ByteBuffer.wrap(parts[0].get(0) != 'Q' ? Replies.welcome().array() : text.get(1) == 'H'
                 ? Replies.row("x0=" + unix / 1000 + "." + unix % 1000 + ",x1=1", "SHOW", unix)
                 : Replies.row("v", text.get(0) == 'I' ? "INSERT 0 1" : "SELECT 1", unix)));
+        return true;
     }
 
     @Override
     public void dialServer(long link, InetSocketAddress to) {
-        servers.put(link, Streams.server(loop, link));
+        servers.put(link, Streams.server(loop::post, link));
         loop.post(g -> g.links().up(link));
     }
 
--- a/gateway/src/main/java/weldcross/pgwire/ClientReader.java
+++ b/gateway/src/main/java/weldcross/pgwire/ClientReader.java
@@ -25,11 +25,15 @@
         void broke(String state, String text);
 
         void ended();
+
+        /** Another connection's open statement is to be cancelled; this one says nothing more. */
+        void cancelAsked(int process, int secret);
     }
 
     private static final int SSL = 80877103;
     private static final int GSS = 80877104;
     private static final int CANCEL = 80877102;
+    private static final int CANCEL_LENGTH = 16;
 
     private final FrameReader frames = new FrameReader(true);
     private final Sink sink;
@@ -50,8 +54,11 @@
                 sink.begun();
             }
         } catch (Malformed e) {
-            over = true;
-            sink.broke(e.state(), e.getMessage());
+            // What comes behind its last word is not looked at.
+            if (!over) {
+                over = true;
+                sink.broke(e.state(), e.getMessage());
+            }
         }
     }
 
@@ -60,6 +67,11 @@
         return told;
     }
 
+    /** Whether a message has begun, the rest of which is still to come. */
+    public boolean isWithin() {
+        return !over && frames.isWithin();
+    }
+
     private void message(byte type, ByteBuffer whole) throws Malformed {
         begun = false;
         if (over) {
@@ -67,7 +79,7 @@
         }
         told++;
         switch (type) {
-            case FrameReader.UNTYPED -> opening(whole.getInt(4));
+            case FrameReader.UNTYPED -> opening(whole);
             case 'Q' -> query(whole);
             case 'X' -> end();
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f' ->
@@ -76,11 +88,18 @@
         }
     }
 
-    private void opening(int code) throws Malformed {
-        switch (code) {
+    private void opening(ByteBuffer whole) throws Malformed {
+        switch (whole.getInt(4)) {
             case FrameReader.VERSION_3 -> sink.started();
             case SSL, GSS -> sink.encryptionAsked();
-            case CANCEL -> end();
+            case CANCEL -> {
+                if (whole.limit() == CANCEL_LENGTH) {
+                    over = true;
+                    sink.cancelAsked(whole.getInt(8), whole.getInt(12));
+                } else {
+                    end();
+                }
+            }
             default -> throw new Malformed("0A000", "only version 3.0 of the protocol is served");
         }
     }
--- a/gateway/src/main/java/weldcross/pgwire/Replies.java
+++ b/gateway/src/main/java/weldcross/pgwire/Replies.java
@@ -12,11 +12,17 @@
     private Replies() {
     }
 
-    /** Authentication passed, what drivers want to be told, and ready. */
+    /** Authentication passed, what drivers want to be told, and ready; to be cancelled with no key. */
     public static ByteBuffer welcome() {
+        return welcome(0, 0);
+    }
+
+    /** The same with the key by which its statements may be cancelled from another connection. */
+    public static ByteBuffer welcome(int process, int secret) {
+        byte[] key = ByteBuffer.allocate(13).put((byte) 'K').putInt(12).putInt(process).putInt(secret).array();
         return join(message('R', "\0\0\0\0"), message('S', "server_version\0" + "15.0\0"),
                 message('S', "client_encoding\0UTF8\0"), message('S', "standard_conforming_strings\0on\0"),
-                message('K', "\0\0\0\0\0\0\0\0"), READY);
+                key, READY);
     }
 
     /** No to a request for encryption. */
--- a/gateway/src/test/java/weldcross/discovery/DiscoveryTest.java
+++ b/gateway/src/test/java/weldcross/discovery/DiscoveryTest.java
@@ -76,6 +76,29 @@
                 "b"));
     }
 
+    /** An answer without a length is whole when its connection ends in order, and never after a reset. */
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws HttpReader.Malformed {
+        List<String> got = new ArrayList<>();
+        HttpReader reader = new HttpReader((status, body) ->
+                got.add(status + " " + new String(body, StandardCharsets.UTF_8)));
+        for (String part : List.of("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"rev", "ision\":4}")) {
+            reader.feed(ByteBuffer.wrap(part.getBytes(StandardCharsets.ISO_8859_1)));
+            assertTrue(got.isEmpty(), "nobody has said that it is whole");
+        }
+        reader.ended();
+        assertEquals(List.of("200 {\"revision\":4}"), got);
+        reader.ended();
+        assertEquals(1, got.size());
+        HttpReader endless = new HttpReader((status, body) -> got.add("endless"));
+        endless.feed(ByteBuffer.wrap("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1)));
+        assertThrows(HttpReader.Malformed.class, () -> {
+            for (int k = 0; k < 5; k++) {
+                endless.feed(ByteBuffer.allocate(1 << 20));
+            }
+        });
+    }
+
     private static List<String> read(String stream, SplittableRandom dice) throws HttpReader.Malformed {
         List<String> got = new ArrayList<>();
         HttpReader reader = new HttpReader((status, body) ->
--- a/gateway/src/test/java/weldcross/gateway/GatewayTest.java
+++ b/gateway/src/test/java/weldcross/gateway/GatewayTest.java
@@ -47,7 +47,7 @@
     private static final String COLUMNS = "\0\1content\0" + "\0".repeat(18);
     private static final Duration GRACE = Duration.ofMillis(70);
     /** Somewhat less than a watch waits. */
-    private static final Duration WATCH = Duration.ofSeconds(4);
+    private static final Duration WATCH = Duration.ofSeconds(3);
     private static final Pattern STATEMENT = Pattern.compile("(SELECT|INSERT).* id=(\\w+),c=(\\w+),"
             + "d=(\\d+),cluster=0.*");
 
@@ -174,7 +174,7 @@
             Wire wire = new Wire();
             wire.open = true;
             wires.put(number, wire);
-            wire.fromClient = Streams.client(loop, () -> now, number);
+            wire.fromClient = Streams.client(loop::post, loop::post, () -> now, number);
             tell(g -> g.accepted(number));
             return number;
         }
@@ -187,6 +187,8 @@
 
         /** What was written is out. */
         void flush() {
+            List<Long> stuck = unwritten.stream().filter(slow::contains).toList();
+            unwritten.removeIf(slow::contains);
             while (!unwritten.isEmpty()) {
                 long number = unwritten.remove(0);
                 if (number > 0) {
@@ -195,14 +197,23 @@
                     tell(g -> g.links().written(number));
                 }
             }
+            unwritten.addAll(stuck);
         }
 
+        /** Clients that do not take yet what is written to them. */
+        final Set<Long> slow = new HashSet<>();
+
         String ask(long client, boolean write, long wait) {
+            return ask(client, write, wait, "");
+        }
+
+        /** @param more what the comment names beyond what all do */
+        String ask(long client, boolean write, long wait, String more) {
             String id = "a" + named++;
             deadlines.put(id, now.plusMillis(wait));
             askedBy.put(id, client);
             String comment = " /* id=" + id + ",c=" + (write ? "file" : "look") + ",d=" + wait
-                    + ",cluster=0 */";
+                    + ",cluster=0" + more + " */";
             say(client, Replies.query(write
                     ? "INSERT INTO kv (name, content) VALUES ('k', '\\x00') RETURNING content"
                     + comment : "SELECT content FROM kv WHERE name = 'k'" + comment));
@@ -301,6 +312,14 @@
             flush();
         }
 
+        @Override
+        public Duration now() {
+            return now.plus(turn);
+        }
+
+        /** How long the turn under way has lasted when it writes. */
+        Duration turn = Duration.ZERO;
+
         @Override
         public void listen(InetSocketAddress at) {
             listening = true;
@@ -326,7 +345,7 @@
             Wire wire = new Wire();
             wire.server = "s-" + (to.getPort() - 7000);
             wires.put(link, wire);
-            wire.reader = Streams.server(loop, link);
+            wire.reader = Streams.server(loop::post, link);
             if (!silent.contains(wire.server)) {
                 gateway.soon(() -> {
                     wire.open = true;
@@ -344,11 +363,16 @@
             wires.get(link).port = to.getPort();
         }
 
+        /** Whether what is written is out when it is asked for, as it is where nothing is in its way. */
+        boolean atOnce;
+
         @Override
-        public void write(long connection, ByteBuffer... parts) {
+        public boolean write(long connection, ByteBuffer... parts) {
             Wire wire = wires.get(connection);
             check(!wire.dropped, "written to a connection that was dropped");
-            unwritten.add(connection);
+            if (!atOnce) {
+                unwritten.add(connection);
+            }
             StringBuilder all = new StringBuilder();
             for (ByteBuffer part : parts) {
                 all.append(StandardCharsets.ISO_8859_1.decode(part.duplicate()));
@@ -366,6 +390,7 @@
                 wire.reader.ask();
                 wire.reader.feed(ByteBuffer.wrap(message('Z', "I")));
             }
+            return atOnce;
         }
 
         private void sent(long link, Wire wire, String text) {
@@ -438,16 +463,25 @@
             }
         }
 
+        /** Whether clients keep their side open after this one is ended. */
+        boolean stays;
+
         /** All that came in until then has been read: whoever said nothing more has no connection now. */
         void partNow() {
             Map<Long, Integer> all = new LinkedHashMap<>(parting);
             parting.clear();
             all.forEach((number, messages) -> {
                 Wire wire = wires.get(number);
-                boolean quiet = !wire.open || wire.fromClient.told() <= messages;
+                boolean quiet = !wire.open || wire.fromClient.told() <= messages && !wire.fromClient.isWithin();
                 wire.open &= !quiet;
                 wire.dropped |= quiet;
-                gateway.soon(() -> gateway.parted(number, quiet));
+                gateway.soon(() -> {
+                    gateway.parted(number, quiet);
+                    // Told of the end, a usual client ends its side.
+                    if (quiet && !stays) {
+                        gateway.clientGone(number);
+                    }
+                });
             });
         }
 
@@ -462,8 +496,12 @@
         /** Its own network thread gets no time: nothing that came in has been read yet. */
         boolean behind;
 
+        /** Connections that were closed, and not only ended from here. */
+        final Set<Long> ended = new HashSet<>();
+
         @Override
         public void drop(long connection) {
+            ended.add(connection);
             Wire wire = wires.get(connection);
             if (wire == null) {
                 return;
@@ -558,7 +596,7 @@
         w.say(client, Replies.query(""));
         assertTrue(w.wires.get(client).take().startsWith("I"));
         assertTrue(w.wires.get(w.discovery).take()
-                .startsWith("GET /catalog/members?since=41&timeout_ms=5000 "));
+                .startsWith("GET /catalog/members?since=41&timeout_ms=4000 "));
     }
 
     @Test
@@ -566,7 +604,7 @@
         World w = World.serving();
         w.talking = false;
         long first = w.discovery;
-        w.wait(6100);
+        w.wait(5100);
         w.wait(400);
         assertFalse(first == w.discovery, "dialled again after silence");
         w.tell(g -> g.list().up(w.discovery));
@@ -683,7 +721,7 @@
     void nothingGoesOutOnceDiscoveryIsSilentForSoLongThatADrainMayBeOwed() {
         World w = World.serving();
         w.talking = false;
-        w.wait(7_500);
+        w.wait(6_500);
         String id = w.ask(w.connect(), false, 500);
         w.answerProbes();
         w.asked().forEach(l -> w.answer(l, null));
@@ -729,6 +767,53 @@
         assertEquals("ok", w.answers.get(id));
     }
 
+    /** Rule 5: a turn that lasts, or a process that stood still, sends later than it decided. */
+    @Test
+    void aReadDecidedInATurnThatLastsGoesByTheClock() {
+        World w = World.serving();
+        w.wait(700);
+        w.turn = Duration.ofMillis(150);
+        String id = w.ask(w.connect(), false, 1000);
+        w.wait(60);
+        assertEquals("s-0", w.wires.get(on(w, id)).server, "only the primary is within the bound when it is sent");
+    }
+
+    /** Rule 5: no time at all since the write was taken for no write at all, and any replica for good enough. */
+    @Test
+    void aReadInTheMillisecondOfItsSessionsWriteSeesIt() {
+        World w = World.serving("[\"bounded\",\"write\"]", "[\"session\",\"write\"]", "remembered", "carried");
+        String id = w.ask(w.connect(), false, 1000, ",after=" + (UNIX_MILLIS + w.now.toMillis()));
+        w.wait(60);
+        assertEquals("s-0", w.wires.get(on(w, id)).server, "no replica is known to hold it");
+    }
+
+    /** Rule 5: a commit told as a whole millisecond may lie behind a replica that stands within that one. */
+    @Test
+    void aReplicaWithinTheMillisecondOfACommitDoesNotHoldIt() {
+        World w = World.serving("[\"bounded\",\"write\"]", "[\"session\",\"write\"]");
+        long client = w.connect();
+        String write = w.ask(client, true, 1000);
+        w.wait(300);
+        String asked = w.wires.get(on(w, write)).statement;
+        long millis = UNIX_MILLIS + w.now.toMillis();
+        Wire wire = w.wires.get(on(w, write));
+        w.wait(3);
+        for (byte[] part : List.of(message('T', COLUMNS), message('D', "\0\1\0\0\0\1v"), message('C', "INSERT 0 1\0"),
+                message('S', "mode\0read-write\0"), message('S', "wal_time\0" + millis + "\0"), message('Z', "I"))) {
+            w.feed(wire, ByteBuffer.wrap(part));
+        }
+        wire.statement = null;
+        assertTrue(asked.startsWith("INSERT"));
+        String read = w.ask(client, false, 1000);
+        List<Long> probes = w.asked();
+        assertFalse(probes.isEmpty(), "a replica is asked where it stands");
+        for (long probe : probes) {
+            w.row(probe, "x0=" + new java.math.BigDecimal(millis).movePointLeft(3) + ",x1=0", "SHOW");
+        }
+        w.wait(60);
+        assertEquals("s-0", w.wires.get(on(w, read)).server);
+    }
+
     /** Rule 3: taken back to a list from before the drain, it sent to the drained server again. */
     @Test
     void anAddressOfDiscoveryThatIsBehindTakesNothingBack() {
@@ -738,7 +823,7 @@
         w.reload(2);
         w.tell(g -> g.list().up(w.discovery));
         list(w, 40, true, "active");
-        assertTrue(w.wires.get(w.discovery).take().endsWith("since=40&timeout_ms=5000 HTTP/1.1\r\nHost: 127.0.0.1:2"
+        assertTrue(w.wires.get(w.discovery).take().endsWith("since=40&timeout_ms=4000 HTTP/1.1\r\nHost: 127.0.0.1:2"
                 + "\r\nAccept: application/json\r\n\r\n"), "goes on from where it is");
         assertFalse(serversOf(w, 40).contains("s-1"), "sent to a server that drains");
         list(w, 41, false, "active");
@@ -1161,6 +1246,67 @@
         assertEquals("58000", w.answers.get(id));
     }
 
+    /**
+     * Rule 2: its end was told before it was noted that all of it was out, and a write that may have run was sent
+     * again as one that never went out.
+     */
+    @Test
+    void whatIsOutIsKnownToBeOutBeforeItsEndIsTold() {
+        World w = World.serving();
+        w.atOnce = true;
+        w.writes.add("a0");
+        String id = w.ask(w.connect(), true, 900);
+        assertEquals("a0", id);
+        w.end(on(w, id));
+        assertEquals("58000", w.answers.get(id));
+    }
+
+    /** Clients that go together: what is held for the last of them is not begun when the first makes room. */
+    @Test
+    void ofClientsThatGoTogetherNothingIsBegun() {
+        World w = World.serving();
+        Map<String, Long> clients = new LinkedHashMap<>();
+        for (int k = 0; k < 60; k++) {
+            long client = w.connect();
+            clients.put(w.ask(client, false, 1500), client);
+        }
+        assertTrue(w.outOn.size() < 60, "some are held");
+        Set<String> begun = Set.copyOf(w.outOn.keySet());
+        w.left.addAll(clients.keySet());
+        w.tell(g -> clients.values().forEach(g::clientGone));
+        w.wait(50);
+        assertEquals(begun, w.outOn.keySet());
+    }
+
+    /** A client that cancels has left what it cancels, and nothing is begun for it any more. */
+    @Test
+    void whoCancelsHasLeftWhatIsOpenLongest() {
+        World w = World.serving();
+        w.lastClient++;
+        long client = w.accept();
+        w.say(client, Replies.startup());
+        byte[] welcome = w.wires.get(client).take().getBytes(StandardCharsets.ISO_8859_1);
+        int key = new String(welcome, StandardCharsets.ISO_8859_1).indexOf("K\0\0\0\14") + 5;
+        ByteBuffer cancel = ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(welcome, key, 8).flip();
+        ByteBuffer guess = cancel.duplicate().order(cancel.order());
+        w.silent.addAll(List.of("s-0", "s-1", "s-2"));
+        String first = w.ask(client, false, 900);
+        String second = w.ask(client, false, 900);
+        ByteBuffer wrong = ByteBuffer.allocate(16).put(guess).putInt(12, cancel.getInt(12) + 1).flip();
+        w.say(w.accept(), wrong);
+        assertEquals(Map.of(), w.answers, "whoever does not know its key cancels nothing");
+        long by = w.accept();
+        w.say(by, cancel.duplicate());
+        assertTrue(w.wires.get(by).dropped && w.wires.get(by).take().isEmpty(), "ended without a word");
+        assertEquals(Map.of(first, "57014"), w.answers);
+        assertTrue(w.outOn.getOrDefault(first, Set.of()).isEmpty(), "its call-out went with it");
+        w.say(w.accept(), cancel.duplicate());
+        assertEquals(Map.of(first, "57014", second, "57014"), w.answers);
+        w.say(w.accept(), cancel.duplicate());
+        w.wait(1000);
+        assertEquals(2, w.answers.size());
+    }
+
     @Test
     void aClientThatLeavesTakesItsCallOutWithIt() {
         World w = World.serving();
@@ -1484,6 +1630,47 @@
         assertTrue(lines.get(0).startsWith("stopped: 2 taken, 2 ok, 0 pushed back"), lines.toString());
     }
 
+    /** Rule 1: whoever is answered late in a stop has as long to take it as whoever was answered early. */
+    @Test
+    void anAnswerLateInAStopIsWaitedForAnew() {
+        World w = World.serving();
+        long early = w.connect();
+        long late = w.connect();
+        w.slow.add(early);
+        w.say(early, Replies.query(""));
+        w.tell(Gateway::stop);
+        w.behind = true;
+        w.wait(460);
+        // Read before its connection was given up, told behind that.
+        String crosses = w.ask(late, false, 2500);
+        w.hearNow();
+        w.behind = false;
+        w.wait(1000);
+        w.slow.add(late);
+        w.answer(on(w, crosses), null);
+        w.slow.remove(early);
+        w.flush();
+        assertEquals(Gateway.Phase.DRAINING, w.gateway.phase(), "its answer is still on its way");
+        w.slow.remove(late);
+        w.flush();
+        assertEquals(Gateway.Phase.STOPPED, w.gateway.phase());
+    }
+
+    /** Whoever keeps its side open after its connection was ended is not reset at once, and not waited for long. */
+    @Test
+    void whoKeepsItsSideOpenIsDroppedInTheEnd() {
+        World w = World.serving();
+        w.stays = true;
+        long idle = w.connect();
+        w.tell(Gateway::stop);
+        w.wait(460);
+        assertEquals(Gateway.Phase.DRAINING, w.gateway.phase());
+        assertFalse(w.ended.contains(idle));
+        w.wait(250);
+        assertTrue(w.ended.contains(idle));
+        assertEquals(Gateway.Phase.STOPPED, w.gateway.phase());
+    }
+
     @Test
     void aClientThatNeverReadsDoesNotHoldUpAStop() {
         World w = World.serving();
--- a/gateway/src/test/java/weldcross/gateway/ListWatchTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ListWatchTest.java
@@ -5,7 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
@@ -16,20 +18,23 @@
 import weldcross.gateway.GatewayTest.Wire;
 import weldcross.gateway.GatewayTest.World;
 
-/** Rule 3 against a model of two addresses of discovery, late, silent, behind, cut off or moved away from. */
+/** Rule 3 against a model of two addresses of discovery, late, silent, mute, behind, cut off or moved away from. */
 class ListWatchTest {
 
     private static final Duration DRAIN = Duration.ofMillis(2050);
     private static final Duration AFTER_RELOAD = Duration.ofSeconds(4);
     /** An address that was moved away from closes what is open, and takes nothing new. */
     private static final Duration CLOSES = Duration.ofMillis(1500);
-    private static final Duration WAITS = Duration.ofSeconds(5);
+    /** What a watch that fell silent misses counts as told this long after the address had it. */
+    private static final Duration AFTER_SILENCE = Duration.ofSeconds(6);
     private static final Pattern ASKED = Pattern
-            .compile("GET /catalog/members(\\?since=(\\d+)&\\S*)? HTTP[\\s\\S]*");
+            .compile("GET /catalog/members(\\?since=(\\d+)&timeout_ms=(\\d+))? HTTP[\\s\\S]*");
 
     /** One address: what it has of the list, and when it had it. */
     private static final class Agent {
         final TreeMap<Integer, Duration> had = new TreeMap<>();
+        /** What it had while all that was open to it was mute. */
+        final Set<Integer> missed = new HashSet<>();
         boolean silent;
 
         int has() {
@@ -49,6 +54,8 @@
         final Agent[] agents = {null, new Agent(), new Agent()};
         /** When each change counts as told to the gateway. */
         final TreeMap<Integer, Duration> told = new TreeMap<>();
+        /** Connections that stay open and on which nothing more comes. */
+        final Set<Long> mute = new HashSet<>();
         World w;
         Duration before = Duration.ZERO, movedAt = Duration.ofDays(-1);
         int at = 1, sent, held, delivered;
@@ -72,6 +79,9 @@
                             "$1" + members + "$2")
                     .getBytes(StandardCharsets.UTF_8);
             w = new World(config);
+            mute.clear();
+            agents[1].missed.clear();
+            agents[2].missed.clear();
             delivered = 0;
             forgetUnheard();
             w.onSent = this::check;
@@ -118,7 +128,8 @@
         void noteTold() {
             agents[at].had.forEach((revision, had) -> {
                 Duration moved = movedAt.plus(AFTER_RELOAD);
-                Duration counts = moved.compareTo(had) > 0 ? moved : had;
+                Duration bound = agents[at].missed.contains(revision) ? had.plus(AFTER_SILENCE) : had;
+                Duration counts = moved.compareTo(bound) > 0 ? moved : bound;
                 if (counts.compareTo(now()) <= 0) {
                     told.merge(revision, counts, (a, b) -> a.compareTo(b) < 0 ? a : b);
                 }
@@ -140,16 +151,22 @@
                 w.reload(at);
             } else if (kind < 36) {
                 open().stream().findFirst().ifPresent(this::cut);
-            } else if (kind < 38) {
+            } else if (kind < 39) {
+                mute.addAll(open());
+            } else if (kind < 41) {
                 noteTold();
                 begin(1 + dice.nextInt(agents[at].has()));
             } else if (kind < 80) {
                 w.ask(w.connect(), dice.nextInt(4) == 0, 900);
             }
             for (Agent agent : List.of(agents[1], agents[2])) {
+                List<Long> toIt = open().stream().filter(l -> agents[w.wires.get(l).port] == agent).toList();
                 for (int r = agent.has() + 1; !agent.silent && dice.nextInt(3) > 0
                         && r < servers.size(); r++) {
                     agent.had.put(r, now());
+                    if (!toIt.isEmpty() && mute.containsAll(toIt)) {
+                        agent.missed.add(r);
+                    }
                 }
             }
             discoverySpeaks();
@@ -186,6 +203,9 @@
                     cut(link);
                     continue;
                 }
+                if (mute.contains(link)) {
+                    continue;
+                }
                 if (!wire.open) {
                     wire.open = true;
                     w.tell(g -> g.list().up(link));
@@ -194,7 +214,8 @@
                         m = ASKED.matcher(wire.received)) {
                     int since = m.group(2) == null ? -1 : Integer.parseInt(m.group(2));
                     wire.answeredAt = wire.answeredAt == null ? w.now : wire.answeredAt;
-                    if (since >= agent.has() && w.now.minus(wire.answeredAt).compareTo(WAITS) < 0) {
+                    Duration waits = Duration.ofMillis(m.group(3) == null ? 0 : Integer.parseInt(m.group(3)));
+                    if (since >= agent.has() && w.now.minus(wire.answeredAt).compareTo(waits) < 0) {
                         break;
                     }
                     boolean whole = since < 0;
--- a/gateway/src/test/java/weldcross/gateway/SocketBoundsTest.java
+++ b/gateway/src/test/java/weldcross/gateway/SocketBoundsTest.java
@@ -37,7 +37,7 @@
     private static final int OTHERS = 300;
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
-    private final GatheringProcessor processor = new GatheringProcessor(threads);
+    private final GatheringProcessor processor = new GatheringProcessor(threads, () -> { });
     private final AtomicInteger looks = new AtomicInteger();
     private final AtomicBoolean full = new AtomicBoolean();
     private final LinkedBlockingQueue<IoSession> sessions = new LinkedBlockingQueue<>();
--- a/gateway/src/test/java/weldcross/pgwire/PgWireTest.java
+++ b/gateway/src/test/java/weldcross/pgwire/PgWireTest.java
@@ -70,6 +70,20 @@
         public void ended() {
             words.add("ended");
         }
+
+        @Override
+        public void cancelAsked(int process, int secret) {
+            words.add("cancel " + process + " " + secret);
+        }
+    }
+
+    /** A request to cancel names whom it cancels, and is all that its connection says. */
+    @Test
+    void aRequestToCancelIsReadWholeOrNotAtAll() {
+        byte[] cancel = ByteBuffer.allocate(16).putInt(16).putInt(80877102).putInt(7).putInt(-9).array();
+        assertEquals(List.of("cancel 7 -9"), hear(bytes(cancel, query("")), null));
+        assertEquals(List.of("cancel 7 -9"), hear(cancel, new SplittableRandom(1)));
+        assertEquals(List.of("ended"), hear(untyped(80877102), null), "it names nobody");
     }
 
     @Test
