--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -452,7 +452,11 @@
     }
 
     private boolean isClosing() {
-        return phase == Phase.DRAINING && now.minus(stoppingAt).compareTo(STILL_COMING) >= 0;
+        return isClosing(now);
+    }
+
+    private boolean isClosing(Duration at) {
+        return phase == Phase.DRAINING && at.minus(stoppingAt).compareTo(STILL_COMING) >= 0;
     }
 
     private void closeIfDone(Client client) {
@@ -526,8 +530,6 @@
             return;
         }
         if (!rpcs.values().stream().allMatch(r -> r.answered)) {
-            // Whoever is answered after this has the same time to take it.
-            answeredAt = null;
             return;
         }
         if (!clients.isEmpty() && answeredAt == null) {
@@ -721,7 +723,7 @@
         client.idleSince = now;
         next(client);
         if (isClosing()) {
-            // Who takes what it is told has as long for the rest of it.
+            // While any takes what it is told the others have as long for theirs.
             answeredAt = null;
             closeIfDone(client);
             stopIfDone();
@@ -779,6 +781,11 @@
     }
 
     private void begin(Turn turn, Statement statement, Duration arrived) {
+        if (isClosing(arrived)) {
+            // Its connection should have ended; begun now it might be open still when the process is killed.
+            answer(turn, Replies.error("57P03", "stopping", null));
+            return;
+        }
         int method = terms.methods().indexOf(statement.method());
         RpcId id = new RpcId(statement.id());
         GroupId group = new GroupId(statement.group());
@@ -810,7 +817,6 @@
     private void take(Turn turn, Statement statement, RpcId id, int method, GroupId group,
             Duration patience) {
         Rpc rpc = new Rpc(id, turn, statement, now.plus(patience));
-        answeredAt = null;
         taken++;
         rpcs.put(id, rpc);
         LOG.fine(() -> "rpc " + id.name() + ": taken, " + statement.method() + " of group " + group.number() + ", "
