--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -43,7 +43,8 @@
     private final Round round;
     private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
     private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
-    private final GatheringProcessor processor;
+    /** Seen in this package so that tests can wait for a round of it. */
+    final GatheringProcessor processor;
     private final CappedAcceptor acceptor;
     private final NioSocketConnector connector;
     private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
--- /dev/null
+++ b/gateway/src/test/java/weldcross/discovery/ListTermTest.java
@@ -0,0 +1,46 @@
+package weldcross.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class ListTermTest {
+
+    private static Duration ms(long n) {
+        return Duration.ofMillis(n);
+    }
+
+    /** Rule 3: what came right behind the last word counts as told 6 s later, whoever notices what. */
+    @Test
+    void aListStandsSixSecondsAndTheDrainsTimeAfterTheLastWord() {
+        ListTerm term = new ListTerm(ms(500));
+        assertFalse(term.stands(Duration.ZERO), "nothing was said yet");
+        term.spoke(ms(1_000));
+        assertTrue(term.stands(ms(7_499)));
+        assertFalse(term.stands(ms(7_500)));
+    }
+
+    /** Without a call open on which it could be told, what discovery has counts at once. */
+    @Test
+    void aListStandsTheDrainsTimeAfterTheLossOfDiscovery() {
+        ListTerm term = new ListTerm(ms(2_000));
+        term.spoke(ms(1_000));
+        term.unheard(ms(3_000));
+        assertTrue(term.stands(ms(4_999)));
+        assertFalse(term.stands(ms(5_000)));
+        term.unheard(ms(4_000));
+        assertEquals(ms(5_000), term.end(), "heard no later than before");
+    }
+
+    /** A watch is given up, and the list asked for anew, before what a silent one missed counts. */
+    @Test
+    void aWatchLeavesTimeToAskAnew() {
+        assertEquals(ms(4_000), ListTerm.watch(ms(5_000), ms(1_000)));
+        assertEquals(ms(2_800), ListTerm.watch(ms(5_000), ms(1_600)));
+        assertEquals(ms(2_000), ListTerm.watch(ms(2_000), ms(1_000)), "no longer than the service allows");
+        assertEquals(ms(1_500), ListTerm.watch(ms(5_000), ms(4_000)), "not ever shorter where dials take long");
+    }
+}
--- a/gateway/src/test/java/weldcross/gateway/ConnectionEndsTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ConnectionEndsTest.java
@@ -98,6 +98,14 @@
         } while (!condition.getAsBoolean());
     }
 
+    /** All that had come in is read and told, and what the reducer asked of the processor before is done. */
+    private void aRoundIsOver() {
+        CountDownLatch read = new CountDownLatch(1);
+        effects.processor.afterReading(read::countDown);
+        until(() -> read.getCount() == 0);
+        loop.catchUp(gateway);
+    }
+
     private int clients() {
         return Integer.parseInt(gateway.inWords().split(" ")[0]);
     }
@@ -160,10 +168,7 @@
         client.getOutputStream().write(statement, 0, 60);
         // 2 s after it came it has asked nothing; all that it sent by then is read before that is judged.
         moveClock(1_000);
-        CountDownLatch judged = new CountDownLatch(1);
-        effects.part(Long.MAX_VALUE, 0);
-        loop.post(g -> judged.countDown());
-        until(() -> judged.getCount() == 0);
+        aRoundIsOver();
         client.getOutputStream().write(statement, 60, statement.length - 60);
         until(() -> taken() == 1);
     }
@@ -225,6 +230,11 @@
         // Sixteen are worked side by side, and pushed back when 0.45 of their time is over.
         while (answered < all) {
             assertTrue(System.nanoTime() - began < BOUND_NANOS, answered + " answered; " + gateway.inWords());
+            // What a round brings is begun, or nothing more is: only then does the time of those in work pass.
+            for (int still = 0, before = -1; still < 4; before = taken()) {
+                aRoundIsOver();
+                still = taken() == before ? still + 1 : 0;
+            }
             moveClock(27_100);
             while (available(client) > 0) {
                 byte type = in.readByte();
