A session sees its write though the call-out was given up as the answer was on its way

Lines at fault: Router.callOutEnded noted a session's token on ok alone. A write's answer that the server has written when the gateway gives the call-out up is read by nobody, yet what it tells counts as known 0.1 s after it was written; later reads of the session went to any replica. Test: RouterTest.aSessionSeesAWriteThatWasGivenUpAndMayHaveRun.

--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -301,8 +301,10 @@
         boolean write = rpc.row.need() == Need.WRITE;
         seat.reads -= write ? 0 : 1;
         rpc.mayHaveRun |= !outcome.neverRan;
-        if (write && outcome == Outcome.OK && rpc.session != null && !terms.tokensCarried()) {
-            tokens.put(rpc.session, later(tokens.remove(rpc.session), pos == null ? now : pos));
+        if (write && !outcome.neverRan && rpc.session != null && !terms.tokensCarried()) {
+            // Given up as its answer was on its way it may have been done, and its session is owed the sight of it.
+            Duration done = outcome == Outcome.OK ? now : now.plus(BRIEF_HOLD);
+            tokens.put(rpc.session, later(tokens.remove(rpc.session), pos == null ? done : pos));
         }
         if (primary != null) {
             Duration asOf = pos != null && !write ? pos : now.minus(took);
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -175,6 +175,25 @@
         assertEquals("s0", rig.only(read).server().id.name(), "a claim from after it counts");
     }
 
+    /**
+     * Rule 5, seen on zone+brink: its client left as a write's answer was on its way, the call-out was cancelled and the
+     * answer not read, and a read of the same session went to a replica without that write.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"CANCELLED", "TIMED_OUT", "CUT"})
+    void aSessionSeesAWriteThatWasGivenUpAndMayHaveRun(String outcome) {
+        Rig rig = Rig.settled(Rig.terms(Effect.NON_IDEMPOTENT, Scope.GROUP, true, false, false));
+        assertFalse(rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().primary);
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        rig.wait(ms(60));
+        rig.end(rig.only(write), Outcome.valueOf(outcome));
+        rig.report(rig.server(1), rig.now);
+        assertTrue(rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().primary, "no replica is sure to hold it");
+        rig.wait(ms(40));
+        rig.report(rig.server(1), rig.now);
+        assertEquals("s1", rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().id.name());
+    }
+
     /** Answers in no time at all made an overdue look ask for itself in the same moment, for ever. */
     @Test
     void answersInNoTimeLeaveNoDueTimeInTheSameMoment() {
