A list on request is asked for as one service that all gateways share wants it

Need: on orchard-ledger (written here) discovery is one service with a limit; 50 and more gateways kept it refusing.

Change, on request only: an answer may take 2 s beyond its wait; calls that fail rest ever longer, drawn by each gateway; what is known is not asked for again (since, waiting 1 ms); a watch waits mustAskIn (each end is a call); the list stands 6 s and the drain's time from the last word.

--- a/gateway/src/main/java/weldcross/discovery/ListTerm.java
+++ b/gateway/src/main/java/weldcross/discovery/ListTerm.java
@@ -3,11 +3,14 @@
 import java.time.Duration;
 
 /**
- * How long a server list may be acted on after discovery last spoke. A drain that was never told binds all
- * the same: what discovery has counts as told at the latest some time after the call that should have
- * brought it, and at once where no call is open. So long, and for the time in which sends must end, the
- * list held is sure to hold all that binds; then no server is known to want anything. Decides only;
- * {@code weldcross.gateway.ListWatch} calls it.
+ * How long a server list may be acted on after discovery last spoke, and how it is asked. A drain that was never
+ * told binds all the same: what discovery has counts as told at the latest some time after the call that should
+ * have brought it, and at once where no call is open and an agent beside the gateway has it. So long, and for the
+ * time in which sends must end, the list held is sure to hold all that binds; then no server is known to want
+ * anything. Decides only; {@code weldcross.gateway.ListWatch} calls it.
+ *
+ * <p>A list on request comes from one service that all gateways share, at which calls wait in line and are refused
+ * where the line is long: a call given up early, or asked for at once again, is work for it that serves nobody.
  */
 public final class ListTerm {
 
@@ -20,47 +23,106 @@
     private static final int GRACES_LEFT = 2;
     /** A watch waits for this part of that time at least, as each one is a call. */
     private static final int LEAST_PART = 4;
+    /** So much longer than it waits for news a call may take, as others are before it. From the protocol. */
+    private static final Duration MOST_IN_LINE = Duration.ofSeconds(2);
+    /** Calls that fail lie at most so many connect timeouts apart. */
+    private static final int MOST_REST = 8;
+    /** What an address has that discovery moved to counts as told so long after the move. From the protocol. */
+    private static final Duration AFTER_MOVE = Duration.ofSeconds(4);
     /** A call that comes later than this after the last answer is a new watch. From the protocol. */
     private static final Duration SAME_WATCH = Duration.ofMillis(200);
 
     private final Duration stopSending;
-    private Duration end;
+    private final boolean onRequest;
+    private Duration end, lastWord;
+    /** Until when the new address has to speak; null where discovery is not on the move. */
+    private Duration moveEnds;
 
-    /** @param stopSending within this time after a drain was told sends to its server end; not negative */
-    public ListTerm(Duration stopSending) {
+    /**
+     * @param stopSending within this time after a drain was told sends to its server end; not negative
+     * @param onRequest whether discovery is one service for all, of which the list has to be asked
+     */
+    public ListTerm(Duration stopSending, boolean onRequest) {
         this.stopSending = stopSending;
+        this.onRequest = onRequest;
     }
 
     /**
-     * How long a watch may wait for news, so that one that fell silent is found, and the list asked for anew,
-     * before what it missed counts as told.
+     * How long a watch may wait for news. Where calls cost nothing so long that one that fell silent is found, and
+     * the list asked for anew, before what it missed counts as told; where all gateways share what answers them
+     * no longer than the service allows between two calls, as what a silent one missed counts only when its wait
+     * is over.
      *
-     * @param most what the service allows
-     * @param grace how long an answer may take beyond what it waits for, and a dial at most
+     * @param askWithin how long a gateway without a watch may go without asking
+     * @param grace how long a dial takes at most
      */
-    public static Duration watch(Duration most, Duration grace) {
+    public static Duration watch(Duration askWithin, Duration grace, boolean onRequest) {
+        if (onRequest) {
+            return askWithin;
+        }
+        Duration most = askWithin.dividedBy(2);
         Duration least = TOLD_AT_LATEST.dividedBy(LEAST_PART);
         Duration safe = TOLD_AT_LATEST.minus(grace.multipliedBy(GRACES_LEFT));
         Duration watch = safe.compareTo(least) > 0 ? safe : least;
         return watch.compareTo(most) < 0 ? watch : most;
     }
 
-    /** Discovery spoke, and a call is written to it in this same moment. */
-    public void spoke(Duration now) {
-        end = now.plus(TOLD_AT_LATEST).plus(stopSending);
+    /** How long an answer may take beyond what its call waits for, before that is given up. */
+    public static Duration patience(Duration grace, boolean onRequest) {
+        return onRequest ? MOST_IN_LINE.plus(grace) : grace;
+    }
+
+    /**
+     * How long nothing is asked after calls that failed: ever longer where all gateways ask the same service, and
+     * not for all alike, or those that were refused together come again together.
+     *
+     * @param failures how many failed in a row, at least one
+     * @param luck in [0, 1), a gateway's own
+     */
+    public Duration rest(int failures, Duration connectTimeout, double luck) {
+        if (!onRequest) {
+            return connectTimeout;
+        }
+        long times = Math.min(MOST_REST, 1L << Math.min(failures, Integer.SIZE));
+        return Duration.ofNanos((long) (connectTimeout.toNanos() * times * (1 + luck) / 2));
+    }
+
+    /**
+     * Discovery spoke, and a call is written to it in this same moment.
+     *
+     * @param waits how long that call may wait for news
+     */
+    public void spoke(Duration now, Duration waits) {
+        Duration silent = waits.plus(MOST_IN_LINE);
+        lastWord = now;
+        end = now.plus(silent.compareTo(TOLD_AT_LATEST) > 0 ? silent : TOLD_AT_LATEST).plus(stopSending);
     }
 
     /**
-     * There was no call open on which discovery could speak.
+     * There was no call open on which discovery could speak. On request what it had before may have been missed as
+     * well, by a call that was silent before it ended: the time of its last word counts then, and what a watch is
+     * allowed that waits no more.
      *
      * @param since from when; it speaks, or this holds for good
      */
     public void unheard(Duration since) {
-        if (end != null && since.plus(stopSending).compareTo(end) < 0) {
-            end = since.plus(stopSending);
+        Duration lapses = onRequest && lastWord != null ? lastWord.plus(TOLD_AT_LATEST).plus(stopSending)
+                : since.plus(stopSending);
+        if (end != null && lapses.compareTo(end) < 0) {
+            end = lapses;
         }
     }
 
+    /** Discovery is at another address from now on, which has not spoken yet; the one before may go on to speak. */
+    public void moved(Duration now) {
+        moveEnds = now.plus(AFTER_MOVE).plus(stopSending);
+    }
+
+    /** The address that it moved to has spoken, or is the one before after all. */
+    public void arrived() {
+        moveEnds = null;
+    }
+
     /**
      * Whether a call made so long after the last answer begins a new watch, before which changes may be
      * missed.
@@ -71,13 +133,13 @@
 
     /** Whether the list held is sure to hold all that binds now. */
     public boolean stands(Duration now) {
-        return end != null && now.compareTo(end) < 0;
+        return end != null && now.compareTo(end()) < 0;
     }
 
     /**
      * When that ends if discovery does not speak; null where it never has, as before a process's first list.
      */
     public Duration end() {
-        return end;
+        return end == null || moveEnds == null || end.compareTo(moveEnds) < 0 ? end : moveEnds;
     }
 }
--- a/gateway/src/main/java/weldcross/gateway/ListWatch.java
+++ b/gateway/src/main/java/weldcross/gateway/ListWatch.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.logging.Logger;
 import weldcross.discovery.ListTerm;
 import weldcross.discovery.ListedMember;
@@ -21,14 +22,18 @@
 final class ListWatch {
 
     private static final Logger LOG = Logger.getLogger(ListWatch.class.getName());
+    /** The least that a call may wait for news, as none at all may mean no wait or one that was not told. */
+    private static final Duration AT_ONCE = Duration.ofMillis(1);
 
     private final Gateway gateway;
     private final Effects effects;
     private final GatewayTerms terms;
-    /** How long a watch waits, and how long an answer may take beyond what it waits for. */
-    private final Duration watch;
-    private final Duration grace;
+    /** How long a watch waits, how long an answer may take beyond what it waits for, and a dial. */
+    private final Duration watch, patience, grace;
     private final ListTerm term;
+    /** Whether discovery is one service for all gateways: what they know already is not asked for again. */
+    private final boolean onRequest;
+    private final SplittableRandom dice;
     private boolean stands;
     private long revision = -1;
     private boolean failing;
@@ -40,8 +45,11 @@
         this.effects = effects;
         this.terms = terms;
         this.grace = terms.connectTimeout().multipliedBy(4);
-        this.watch = ListTerm.watch(terms.service().askWithin().dividedBy(2), grace);
-        this.term = new ListTerm(terms.stopSending());
+        this.onRequest = terms.service().listOnRequest();
+        this.watch = ListTerm.watch(terms.service().askWithin(), grace, onRequest);
+        this.patience = ListTerm.patience(grace, onRequest);
+        this.term = new ListTerm(terms.stopSending(), onRequest);
+        this.dice = new SplittableRandom(~terms.seed());
     }
 
     /**
@@ -93,8 +101,12 @@
         }
         next = current != null && current.address.equals(address) ? null : new Talk(address);
         if (next != null) {
+            term.moved(gateway.now());
             next.dial();
+        } else {
+            term.arrived();
         }
+        judgeTerm();
     }
 
     void up(long number) {
@@ -106,7 +118,7 @@
             if (talk.lostAt != null && ListTerm.isNewWatch(gateway.now().minus(talk.lostAt))) {
                 // Asked for all of it, it speaks at once.
                 unheard(talk.lostAt);
-                talk.since = -1;
+                talk.missed();
             }
             talk.lostAt = null;
             talk.ask();
@@ -138,24 +150,26 @@
             NamedValues told = NamedValues.ofJson(text);
             talk.since = isBehind(talk, told) ? takeDrains(told) : take(told);
         } catch (FaultyTerm e) {
+            talk.since = -1;
             talk.fail(e.getMessage());
             return;
         }
         talk.answered = true;
-        term.spoke(gateway.now());
+        talk.failures = 0;
         if (talk == next) {
             if (current != null) {
                 current.end();
             }
             current = next;
             next = null;
+            term.arrived();
             LOG.info("the list comes from the new address");
         }
         if (failing) {
             failing = false;
             LOG.info("the list is watched again");
         }
-        talk.ask();
+        term.spoke(gateway.now(), talk.ask());
         judgeTerm();
     }
 
@@ -219,6 +233,9 @@
         long since = -1;
         long link, asked;
         boolean up, answered, askWhole;
+        /** Whether what it has by now is to be told before a watch is begun: it may be silent. */
+        boolean askNow;
+        int failures;
         /** When its connection ended between two watches; null where it is open. */
         Duration lostAt;
         /** Since when, without a break, it has told only what is older than what is held; null where it has not. */
@@ -241,15 +258,19 @@
             expectWithin(grace);
         }
 
-        void ask() {
+        /** Returns how long it may wait for news. */
+        Duration ask() {
             boolean first = since < 0 || askWhole;
+            Duration waits = first ? Duration.ZERO : askNow ? AT_ONCE : watch;
             askWhole = false;
+            askNow = false;
             String path = first ? "/catalog/members"
-                    : "/catalog/members?since=" + since + "&timeout_ms=" + watch.toMillis();
+                    : "/catalog/members?since=" + since + "&timeout_ms=" + waits.toMillis();
             String head = "GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":"
                     + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
             effects.write(link, ByteBuffer.wrap(head.getBytes(StandardCharsets.US_ASCII)));
-            expectWithin(first ? grace : watch.plus(grace));
+            expectWithin(waits.plus(patience));
+            return waits;
         }
 
         private void expectWithin(Duration time) {
@@ -261,7 +282,16 @@
             });
         }
 
-        /** The list held stays in force; asked again soon, from the whole list, as a change may be lost. */
+        /** Changes may be missed from here on: they are asked for as what answers at once. */
+        void missed() {
+            if (onRequest) {
+                askNow = true;
+            } else {
+                since = -1;
+            }
+        }
+
+        /** The list held stays in force; asked again soon, as a change may be lost. */
         void fail(String why) {
             if (!failing) {
                 failing = true;
@@ -271,14 +301,16 @@
                 unheard(lostAt != null ? lostAt : gateway.now());
             }
             lostAt = null;
+            missed();
             end();
             if (isLast()) {
                 long ended = asked;
-                gateway.at(gateway.now().plus(terms.connectTimeout()), () -> {
-                    if (asked == ended) {
-                        dial();
-                    }
-                });
+                gateway.at(gateway.now().plus(term.rest(++failures, terms.connectTimeout(), dice.nextDouble())),
+                        () -> {
+                            if (asked == ended) {
+                                dial();
+                            }
+                        });
             } else {
                 current = null;
             }
@@ -287,7 +319,6 @@
         /** Ends its connection, if there is one; nothing that was expected of it is missed. */
         void end() {
             asked++;
-            since = -1;
             // Down for a while it learns nothing: only while it speaks does being behind show that it counts anew.
             behindSince = null;
             effects.drop(link);
