A session read goes by its session's writes as they stand at each send

A read that was held, waited for its connection or went out a second time after a write of its session had been answered meanwhile still counted replicas that do not hold that write. The terms want what was answered before the send. The token is looked up at each decision and at each send now (Router.token, by holds and mayStillGo); one that came with the read stays as it came.

Shown: RouterTest.aReadThatWaitsSeesWhatItsSessionHasWrittenMeanwhile fails without it, at the send and at the further call-out. Sought in like code: bounds, primaries, drains, repeats and cold servers go by the clock and the state at the send already; a fresh read counts from its arrival by its definition.

--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -134,7 +134,8 @@
         final List<CallOut> callOuts = new ArrayList<>();
         final LinkedHashSet<Seat> tried = new LinkedHashSet<>();
         SessionId session;
-        Duration token;
+        /** The token that came with it; null where it has none. */
+        Duration carried;
         double worth;
         int out;
         boolean mayHaveRun, answered, abandoned;
@@ -260,11 +261,7 @@
         Rpc rpc = new Rpc(id, method, group, now, now.plus(patience));
         rpc.session = session;
         rpc.worth = rpc.row.utility() * (repeat ? REPEAT_VALUE : 1);
-        if (rpc.row.need() == Need.SESSION && !terms.tokensCarried()) {
-            rpc.token = tokens.getOrDefault(session, floor);
-        } else if (rpc.row.need() == Need.SESSION && !sinceWrite.isZero()) {
-            rpc.token = now.minus(sinceWrite);
-        }
+        rpc.carried = sinceWrite.isZero() ? null : now.minus(sinceWrite);
         open.put(id, rpc);
         dueAt(rpc.unsentUntil, at -> endIf(rpc, rpc.callOuts.isEmpty()));
         dueAt(rpc.lastSend, at -> endIf(rpc, rpc.out == 0 || rpc.row.effect() == Effect.IDEMPOTENT));
@@ -501,7 +498,7 @@
     /** Probes the replica that would be picked, if its position is old; true while that is worth a wait. */
     private boolean refreshed(Duration now, Rpc rpc) {
         Need need = rpc.row.need();
-        boolean byPosition = need == Need.BOUNDED || need == Need.SESSION && rpc.token != null;
+        boolean byPosition = need == Need.BOUNDED || need == Need.SESSION && token(rpc) != null;
         Seat next = byPosition && terms.probes() ? leastBusy(now, rpc, false) : null;
         boolean old = next != null && (next.pos == null || now.minus(next.pos).compareTo(probeAfter) > 0);
         if (old && (need == Need.BOUNDED || !holds(now, rpc, next))) {
@@ -552,12 +549,17 @@
         return switch (rpc.row.need()) {
             case ANY -> true;
             case BOUNDED -> pos != null && now.minus(pos).compareTo(rpc.row.bound()) < 0;
-            case SESSION -> rpc.token == null || pos != null && pos.compareTo(rpc.token) >= 0;
+            case SESSION -> token(rpc) == null || pos != null && pos.compareTo(token(rpc)) >= 0;
             case FRESH -> pos != null && pos.compareTo(rpc.arrived) >= 0;
             case WRITE -> false;
         };
     }
 
+    /** As it stands now: a write of its session may have been answered while the read waited. */
+    private Duration token(Rpc rpc) {
+        return terms.tokensCarried() ? rpc.carried : tokens.getOrDefault(rpc.session, floor);
+    }
+
     /** Of equals in reads the one that comes first in this gateway's own order. */
     private static boolean lessBusy(Seat a, Seat b) {
         boolean even = (int) a.order == (int) b.order && a.pos != null && b.pos != null;
--- a/gateway/src/test/java/weldcross/routing/RouterTest.java
+++ b/gateway/src/test/java/weldcross/routing/RouterTest.java
@@ -194,6 +194,20 @@
         assertEquals("s1", rig.only(rig.arrive(Need.SESSION, 0, Duration.ZERO)).server().id.name());
     }
 
+    /** Rule 5: what a session has written counts at each send, not as it stood when the read came. */
+    @Test
+    void aReadThatWaitsSeesWhatItsSessionHasWrittenMeanwhile() {
+        Rig rig = Rig.settled(Rig.terms(Effect.NON_IDEMPOTENT, Scope.GROUP, true, false, false));
+        String write = rig.arrive(Need.WRITE, 0, Duration.ZERO);
+        String read = rig.arrive(Need.SESSION, 0, Duration.ZERO);
+        assertFalse(rig.only(read).server().primary, "nothing is known to be written yet");
+        rig.wait(ms(60));
+        rig.end(rig.only(write), Outcome.OK);
+        assertFalse(rig.mayStillGo(rig.only(read)), "its connection has just come up");
+        rig.end(rig.only(read), Outcome.ERROR);
+        assertTrue(rig.only(read).server().primary, "no replica is known to hold it");
+    }
+
     /** Answers in no time at all made an overdue look ask for itself in the same moment, for ever. */
     @Test
     void answersInNoTimeLeaveNoDueTimeInTheSameMoment() {
