Of one round of reading what servers said is told before what clients asked

Round tells who went, then servers' words, then clients', each in its order. RoundTest.whatServersSayIsToldBeforeWhatClientsAsk fails without it. Not known to be the cause of a stale read on record.

--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -306,11 +306,11 @@
     }
 
     private Stream server(long number) {
-        ServerReader reader = Streams.server(round::tell, number);
+        ServerReader reader = Streams.server(round::heard, number);
         return new Stream() {
             @Override
             void opened() {
-                round.tell(g -> g.links().up(number));
+                round.heard(g -> g.links().up(number));
             }
 
             @Override
@@ -325,12 +325,12 @@
 
             @Override
             void written() {
-                round.tell(g -> g.links().written(number));
+                round.heard(g -> g.links().written(number));
             }
 
             @Override
             void gone() {
-                round.tell(g -> g.links().gone(number, reader.rest()));
+                round.heard(g -> g.links().gone(number, reader.rest()));
             }
 
             @Override
