--- a/gateway/src/main/java/weldcross/gateway/ListWatch.java
+++ b/gateway/src/main/java/weldcross/gateway/ListWatch.java
@@ -46,7 +46,7 @@
         this.terms = terms;
         this.grace = terms.connectTimeout().multipliedBy(4);
         this.onRequest = terms.service().listOnRequest();
-        this.watch = ListTerm.watch(terms.service().askWithin(), onRequest);
+        this.watch = ListTerm.watch(terms.service().askWithin(), grace, onRequest);
         this.patience = ListTerm.patience(grace, onRequest);
         this.term = new ListTerm(terms.stopSending(), onRequest);
         this.dice = new SplittableRandom(~terms.seed());
@@ -125,15 +125,6 @@
         }
     }
 
-    /** All that had come in on all connections when it was asked for is read and told. */
-    boolean heard(long number) {
-        Talk talk = talk(number);
-        if (talk != null) {
-            talk.heard();
-        }
-        return talk != null;
-    }
-
     void gone(long number) {
         Talk talk = talk(number);
         if (talk != null && talk.answered && talk.isLast()) {
@@ -241,8 +232,6 @@
         /** The revision that the next watch goes on from; below zero the whole list is asked for. */
         long since = -1;
         long link, asked;
-        /** What was asked and is not answered, though whoever has a list answers at once; zero where nothing. */
-        long doubted;
         boolean up, answered, askWhole;
         /** Whether what it has by now is to be told before a watch is begun: it may be silent. */
         boolean askNow;
@@ -281,15 +270,6 @@
                     + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
             effects.write(link, ByteBuffer.wrap(head.getBytes(StandardCharsets.US_ASCII)));
             expectWithin(waits.plus(patience));
-            if (first) {
-                long expected = asked;
-                gateway.at(gateway.now().plus(terms.connectTimeout()), () -> {
-                    if (asked == expected) {
-                        doubted = asked;
-                        effects.hear(link);
-                    }
-                });
-            }
             return waits;
         }
 
@@ -297,20 +277,11 @@
             long expected = ++asked;
             gateway.at(gateway.now().plus(time), () -> {
                 if (asked == expected) {
-                    fail(up ? "it is silent" : "it cannot be reached", up);
+                    fail(up ? "it is silent" : "it cannot be reached");
                 }
             });
         }
 
-        /** All that had come in was read: asked for all of it, it has said nothing. It is waited for as a watch is. */
-        void heard() {
-            if (doubted == asked && isLast() && this == current) {
-                term.nothingCame(gateway.now());
-                expectWithin(watch);
-                judgeTerm();
-            }
-        }
-
         /** Changes may be missed from here on: they are asked for as what answers at once. */
         void missed() {
             if (onRequest) {
@@ -322,10 +293,6 @@
 
         /** The list held stays in force; asked again soon, as a change may be lost. */
         void fail(String why) {
-            fail(why, false);
-        }
-
-        private void fail(String why, boolean silent) {
             if (!failing) {
                 failing = true;
                 LOG.warning("discovery: " + why + "; the list held stays in force");
@@ -338,12 +305,12 @@
             end();
             if (isLast()) {
                 long ended = asked;
-                Duration rest = term.rest(++failures, silent, terms.connectTimeout(), dice.nextDouble());
-                gateway.at(gateway.now().plus(rest), () -> {
-                    if (asked == ended) {
-                        dial();
-                    }
-                });
+                gateway.at(gateway.now().plus(term.rest(++failures, terms.connectTimeout(), dice.nextDouble())),
+                        () -> {
+                            if (asked == ended) {
+                                dial();
+                            }
+                        });
             } else {
                 current = null;
             }
--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -254,7 +254,7 @@
 
     @Override
     public void hear(long connection) {
-        processor.afterReading(() -> loop.post(g -> g.heard(connection)));
+        processor.afterReading(() -> loop.post(g -> g.links().heard(connection)));
     }
 
     @Override
