A fault in one task of the reading thread no longer ends all reading

Shown by a test that fails without it: a task of GatheringProcessor.select that throws (ClientStream.goOn feeds a reader there, outside MINA's own catch) was left in the round's list, so that every round from then on threw again, once a second, and nothing was read any more, of nobody: 118 times in a minute, until the test's end. Each task runs on its own now, a fault is told, and one in a client's kept bytes ends that connection, as it does where MINA reads them.

Measured: gateway module's tests of sockets, rounds, lists and the reducer, green.

--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -73,7 +73,14 @@
             return;
         }
         int size = Math.min(SLICE, next.remaining());
-        reader.feed(next.slice(next.position(), size));
+        try {
+            reader.feed(next.slice(next.position(), size));
+        } catch (RuntimeException e) {
+            // As where it is read by MINA itself: what cannot be read on ends its connection.
+            broken = true;
+            session.closeNow();
+            return;
+        }
         next.position(next.position() + size);
         keptBytes -= size;
         if (!next.hasRemaining()) {
--- a/gateway/src/main/java/weldcross/gateway/GatheringProcessor.java
+++ b/gateway/src/main/java/weldcross/gateway/GatheringProcessor.java
@@ -4,11 +4,12 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -20,12 +21,13 @@
  */
 final class GatheringProcessor extends NioProcessor {
 
+    private static final Logger LOG = Logger.getLogger(GatheringProcessor.class.getName());
     private static final String CHANNEL = "channel";
 
     private final Runnable roundEnds;
     private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
     /** Those that waited before the round of reading that is under way. */
-    private final List<Runnable> round = new ArrayList<>();
+    private final ArrayDeque<Runnable> round = new ArrayDeque<>();
 
     /** @param roundEnds called, on its own thread, when all that one round found ready has been read */
     GatheringProcessor(Executor executor, Runnable roundEnds) {
@@ -42,8 +44,9 @@
     @Override
     protected int select(long timeout) throws Exception {
         roundEnds.run();
-        round.forEach(Runnable::run);
-        round.clear();
+        for (Runnable next = round.poll(); next != null; next = round.poll()) {
+            runApart(next);
+        }
         roundEnds.run();
         for (Runnable next = waiting.poll(); next != null; next = waiting.poll()) {
             round.add(next);
@@ -54,6 +57,18 @@
         return super.select(timeout);
     }
 
+    /**
+     * Against a fault in one task, which would come out of every round from then on: nothing would be read any more,
+     * of nobody. What it was to do is left undone.
+     */
+    private static void runApart(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "a task between two rounds of reading failed", e);
+        }
+    }
+
     @Override
     protected void init(NioSession session) throws Exception {
         super.init(session);
--- a/gateway/src/test/java/weldcross/gateway/ConnectionEndsTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ConnectionEndsTest.java
@@ -260,6 +260,18 @@
         assertEquals(1, taken());
     }
 
+    /** Rule 1: it came out of every round from then on, and nothing was read any more, of nobody. */
+    @Test
+    void aFaultInATaskOfTheProcessorIsNotTheEndOfAllReading() throws Exception {
+        Socket first = connect();
+        effects.processor.afterReading(() -> {
+            throw new IllegalStateException("a fault of one connection");
+        });
+        aRoundIsOver();
+        asks(first, 1);
+        until(() -> taken() == 1);
+    }
+
     /** Calls until nobody gets through any more; somebody else may have called there before. */
     private static List<Socket> fillUp(InetSocketAddress to) throws IOException {
         List<Socket> fill = new ArrayList<>();
