Round's order is as it was, as a precaution against the lost answers

A write's answer and its session's next read found in one round are open again (rule 5, after a stall).

--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -306,11 +306,11 @@
     }
 
     private Stream server(long number) {
-        ServerReader reader = Streams.server(round::heard, number);
+        ServerReader reader = Streams.server(round::tell, number);
         return new Stream() {
             @Override
             void opened() {
-                round.heard(g -> g.links().up(number));
+                round.tell(g -> g.links().up(number));
             }
 
             @Override
@@ -325,12 +325,12 @@
 
             @Override
             void written() {
-                round.heard(g -> g.links().written(number));
+                round.tell(g -> g.links().written(number));
             }
 
             @Override
             void gone() {
-                round.heard(g -> g.links().gone(number, reader.rest()));
+                round.tell(g -> g.links().gone(number, reader.rest()));
             }
 
             @Override
