A dial given up as it comes up no longer stops the dialling thread, or makes it turn without rest

Lines at fault: MinaEffects.drop (and MinaLinks.drop) call ConnectFuture.cancel. MINA 2.2.4 (2.2.7 as well) counts a dial off in processConnections and again in cancelKeys where it comes up, or fails, as it is cancelled. Its count of dials is one too low from then on: the thread ends with the last dial under way, which stays in the selected keys; the next thread's select finds nothing new in it and returns 0 at once, for ever, and "if selected > 0" skips it.

Change: weldcross.sockets.Dials. A dial that is given up has its channel closed, once the dialling thread has taken it up, and is never cancelled; MINA's time limit, which counts twice in the same way, is used nowhere (the link keeps its own by a due time).

Sought in like code: the link's dials (mended too); the relay's loop looks at all that is selected (sound).

--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -15,7 +15,6 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
@@ -26,6 +25,7 @@
 import weldcross.pgwire.Replies;
 import weldcross.pgwire.ServerReader;
 import weldcross.routing.ServerId;
+import weldcross.sockets.Dials;
 
 /** Performs the effects on Apache MINA; its threads only parse what comes and post it. */
 final class MinaEffects implements Effects {
@@ -42,11 +42,11 @@
     private final Supplier<Duration> clock;
     private final Round round;
     private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
-    private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
     /** Seen in this package so that tests can wait for a round of it. */
     final GatheringProcessor processor;
     private final CappedAcceptor acceptor;
     private final NioSocketConnector connector;
+    private final Dials dials;
     private final CompletableFuture<InetSocketAddress> listening = new CompletableFuture<>();
     private NioDatagramAcceptor peers;
     private InetSocketAddress peersFrom;
@@ -62,9 +62,10 @@
         round = new Round(loop::post);
         processor = new GatheringProcessor(threads, round::end);
         connector = new NioSocketConnector(threads, processor);
+        dials = new Dials(connector);
         // A dial that is under way holds a descriptor as well.
         acceptor = new CappedAcceptor(threads, processor, mostOpen,
-                () -> connector.getManagedSessionCount() + dials.size());
+                () -> connector.getManagedSessionCount() + dials.underWay());
         set(acceptor.getSessionConfig());
         set(connector.getSessionConfig());
         acceptor.setReuseAddress(true);
@@ -208,15 +209,11 @@
     }
 
     private void dial(long number, InetSocketAddress to, Stream stream) {
-        ConnectFuture future = connector.connect(to, (session, f) -> carry(session, number, stream));
-        dials.put(number, future);
-        future.addListener(f -> {
-            dials.remove(number);
-            Throwable why = ((ConnectFuture) f).getException();
-            if (why != null && why.getClass() == SocketException.class) {
+        dials.dial(number, to, session -> carry(session, number, stream), why -> {
+            if (why.getClass() == SocketException.class) {
                 // Refused, unreachable and overdue have exceptions of their own kind.
                 stream.dialReset();
-            } else if (!((ConnectFuture) f).isConnected()) {
+            } else {
                 stream.notReached();
             }
         });
@@ -273,10 +270,7 @@
 
     @Override
     public void drop(long connection) {
-        ConnectFuture future = dials.remove(connection);
-        if (future != null) {
-            future.cancel();
-        }
+        dials.giveUp(connection);
         IoSession session = sessions.remove(connection);
         if (session != null) {
             // A second call-out must not overtake the end of the first; clients have nothing that could.
--- a/gateway/src/main/java/weldcross/link/net/MinaLinks.java
+++ b/gateway/src/main/java/weldcross/link/net/MinaLinks.java
@@ -21,7 +21,6 @@
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
-import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
@@ -45,6 +44,7 @@
 import weldcross.link.wire.Refused;
 import weldcross.link.wire.Welcome;
 import weldcross.seam.Seam;
+import weldcross.sockets.Dials;
 
 /** The sockets of the link, on Apache MINA; its threads only read what comes and post it. */
 final class MinaLinks {
@@ -65,8 +65,8 @@
     private final ExecutorService threads;
     private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector;
+    private final Dials dials;
     private final Map<Long, IoSession> sessions = new ConcurrentHashMap<>();
-    private final Map<Long, ConnectFuture> dials = new ConcurrentHashMap<>();
     /** On which peers are called: nobody else calls here. */
     private final Set<InetAddress> hosts = new HashSet<>();
     private final List<WriteFuture> goodbyes = new ArrayList<>();
@@ -88,7 +88,7 @@
         processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
         acceptor = new NioSocketAcceptor(threads, processor);
         connector = new NioSocketConnector(threads, processor);
-        connector.setConnectTimeoutMillis(terms.dialWithin().toMillis());
+        dials = new Dials(connector);
         set(acceptor.getSessionConfig());
         set(connector.getSessionConfig());
         acceptor.setReuseAddress(true);
@@ -161,17 +161,16 @@
     // ---- What is asked for
 
     void dial(long number, PeerName to) {
-        ConnectFuture future = connector.connect(places.calls().get(to), (session, f) -> {
+        dials.dial(number, places.calls().get(to), session -> {
             session.setAttribute(NUMBER, number);
             sessions.put(number, session);
+        }, why -> {
+            boolean refused = why instanceof ConnectException && String.valueOf(why.getMessage()).contains("refused");
+            seam.post(() -> links.dialFailed(seam.now(), number, refused));
         });
-        dials.put(number, future);
-        future.addListener(f -> {
-            dials.remove(number);
-            if (!((ConnectFuture) f).isConnected()) {
-                boolean refused = ((ConnectFuture) f).getException() instanceof ConnectException why
-                        && String.valueOf(why.getMessage()).contains("refused");
-                seam.post(() -> links.dialFailed(seam.now(), number, refused));
+        seam.at(seam.now().plus(terms.dialWithin()), () -> {
+            if (dials.giveUp(number)) {
+                links.dialFailed(seam.now(), number, false);
             }
         });
     }
@@ -217,10 +216,7 @@
     }
 
     void drop(long number) {
-        ConnectFuture dial = dials.remove(number);
-        if (dial != null) {
-            dial.cancel();
-        }
+        dials.giveUp(number);
         IoSession session = sessions.remove(number);
         if (session != null) {
             session.closeNow();
