--- a/gateway/src/main/java/weldcross/discovery/HttpReader.java
+++ b/gateway/src/main/java/weldcross/discovery/HttpReader.java
@@ -85,6 +85,11 @@
         }
     }
 
+    /** Whether a response has begun and is not whole. */
+    public boolean isWithin() {
+        return part != Part.STATUS || line.size() > 0;
+    }
+
     private void line(String text) throws Malformed {
         switch (part) {
             case STATUS -> {
--- a/gateway/src/main/java/weldcross/discovery/ListTerm.java
+++ b/gateway/src/main/java/weldcross/discovery/ListTerm.java
@@ -19,10 +19,11 @@
      * From the protocol, which allows more to a watch that waits longer, but not once it was given up.
      */
     private static final Duration TOLD_AT_LATEST = Duration.ofSeconds(6);
-    /** Of that time a watch leaves so much, in graces, to find that it was silent and to ask anew. */
-    private static final int GRACES_LEFT = 2;
-    /** A watch waits for this part of that time at least, as each one is a call. */
-    private static final int LEAST_PART = 4;
+    /**
+     * A watch waits for this part of that time: each one is a call, but the shorter it is the longer is the list
+     * known to hold all that binds once discovery goes down.
+     */
+    private static final int WATCH_PART = 4;
     /** So much longer than it waits for news a call may take, as others are before it. From the protocol. */
     private static final Duration MOST_IN_LINE = Duration.ofSeconds(2);
     /** Calls that fail lie at most so many connect timeouts apart. */
@@ -34,7 +35,9 @@
 
     private final Duration stopSending;
     private final boolean onRequest;
-    private Duration end, lastWord;
+    private Duration end, lastWord, endByWord;
+    /** Whether the list stands by its last word, as discovery was found to say nothing. */
+    private boolean byWord;
     /** Until when the new address has to speak; null where discovery is not on the move. */
     private Duration moveEnds;
 
@@ -48,23 +51,16 @@
     }
 
     /**
-     * How long a watch may wait for news. Where calls cost nothing so long that one that fell silent is found, and
-     * the list asked for anew, before what it missed counts as told; where all gateways share what answers them
-     * no longer than the service allows between two calls, as what a silent one missed counts only when its wait
-     * is over.
+     * How long a watch may wait for news. Where calls cost nothing so short that one that fell silent is found, and
+     * the list asked for anew, well before what it missed counts as told; where all gateways share what answers
+     * them no longer than the service allows between two calls, as what a silent one missed counts only when its
+     * wait is over.
      *
      * @param askWithin how long a gateway without a watch may go without asking
-     * @param grace how long a dial takes at most
      */
-    public static Duration watch(Duration askWithin, Duration grace, boolean onRequest) {
-        if (onRequest) {
-            return askWithin;
-        }
-        Duration most = askWithin.dividedBy(2);
-        Duration least = TOLD_AT_LATEST.dividedBy(LEAST_PART);
-        Duration safe = TOLD_AT_LATEST.minus(grace.multipliedBy(GRACES_LEFT));
-        Duration watch = safe.compareTo(least) > 0 ? safe : least;
-        return watch.compareTo(most) < 0 ? watch : most;
+    public static Duration watch(Duration askWithin, boolean onRequest) {
+        Duration part = TOLD_AT_LATEST.dividedBy(WATCH_PART), most = askWithin.dividedBy(2);
+        return onRequest ? askWithin : part.compareTo(most) < 0 ? part : most;
     }
 
     /** How long an answer may take beyond what its call waits for, before that is given up. */
@@ -77,11 +73,12 @@
      * not for all alike, or those that were refused together come again together.
      *
      * @param failures how many failed in a row, at least one
+     * @param silent whether the last one was given up, and so took its time
      * @param luck in [0, 1), a gateway's own
      */
-    public Duration rest(int failures, Duration connectTimeout, double luck) {
+    public Duration rest(int failures, boolean silent, Duration connectTimeout, double luck) {
         if (!onRequest) {
-            return connectTimeout;
+            return silent ? Duration.ZERO : connectTimeout;
         }
         long times = Math.min(MOST_REST, 1L << Math.min(failures, Integer.SIZE));
         return Duration.ofNanos((long) (connectTimeout.toNanos() * times * (1 + luck) / 2));
@@ -95,7 +92,35 @@
     public void spoke(Duration now, Duration waits) {
         Duration silent = waits.plus(MOST_IN_LINE);
         lastWord = now;
-        end = now.plus(silent.compareTo(TOLD_AT_LATEST) > 0 ? silent : TOLD_AT_LATEST).plus(stopSending);
+        endByWord = now.plus(silent.compareTo(TOLD_AT_LATEST) > 0 ? silent : TOLD_AT_LATEST).plus(stopSending);
+        end = endByWord;
+        byWord = false;
+    }
+
+    /**
+     * Some of an answer has come: there is something to be told, which binds from now on even if the rest never
+     * comes.
+     */
+    public void begun(Duration now) {
+        Duration lapses = now.plus(stopSending);
+        if (endByWord != null && lapses.compareTo(endByWord) < 0) {
+            endByWord = lapses;
+            end = byWord ? lapses : end;
+        }
+    }
+
+    /**
+     * A call that an agent beside the gateway answers at once, if it has any list, was written some time ago, all
+     * that has come in since was read, and there was nothing: discovery is down, learns nothing and has nothing
+     * that it could have told. Only a watch that had fallen silent before may have missed what it had before, so
+     * the list stands as long as what such a one missed cannot count: as after the last word. Where the list has
+     * lapsed, as no call could be made, the agent may have had news in between.
+     */
+    public void nothingCame(Duration now) {
+        if (!onRequest && stands(now)) {
+            end = endByWord;
+            byWord = true;
+        }
     }
 
     /**
@@ -110,6 +135,7 @@
                 : since.plus(stopSending);
         if (end != null && lapses.compareTo(end) < 0) {
             end = lapses;
+            byWord = false;
         }
     }
 
--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -857,6 +857,13 @@
         return list;
     }
 
+    /** What came in on all connections by the time that {@link Effects#hear} was asked for is told. */
+    void heard(long connection) {
+        if (!list.heard(connection)) {
+            links.heard(connection);
+        }
+    }
+
     private void report(ServerId server, String pairs) {
         if (pairs == null || pairs.isEmpty()) {
             return;
--- a/gateway/src/main/java/weldcross/gateway/MinaEffects.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaEffects.java
@@ -57,6 +57,10 @@
         ExecutorService threads = Executors.newCachedThreadPool(task -> {
             Thread thread = new Thread(task);
             thread.setDaemon(true);
+            // Against a gateway that only seems alive: what ends one of these threads comes out of the one that serves.
+            thread.setUncaughtExceptionHandler((t, e) -> loop.post(g -> {
+                throw new IllegalStateException("thread " + t.getName() + " ended", e);
+            }));
             return thread;
         });
         round = new Round(loop::post);
@@ -251,7 +255,7 @@
 
     @Override
     public void hear(long connection) {
-        processor.afterReading(() -> loop.post(g -> g.links().heard(connection)));
+        processor.afterReading(() -> loop.post(g -> g.heard(connection)));
     }
 
     @Override
@@ -300,11 +304,11 @@
     }
 
     private Stream server(long number) {
-        ServerReader reader = Streams.server(round::tell, number);
+        ServerReader reader = Streams.server(round::heard, number);
         return new Stream() {
             @Override
             void opened() {
-                round.tell(g -> g.links().up(number));
+                round.heard(g -> g.links().up(number));
             }
 
             @Override
@@ -319,12 +323,12 @@
 
             @Override
             void written() {
-                round.tell(g -> g.links().written(number));
+                round.heard(g -> g.links().written(number));
             }
 
             @Override
             void gone() {
-                round.tell(g -> g.links().gone(number, reader.rest()));
+                round.heard(g -> g.links().gone(number, reader.rest()));
             }
 
             @Override
@@ -351,6 +355,9 @@
             @Override
             void read(ByteBuffer in) throws HttpReader.Malformed {
                 reader.feed(in);
+                if (reader.isWithin()) {
+                    loop.post(g -> g.list().begun(number));
+                }
             }
 
             @Override
--- a/gateway/src/main/java/weldcross/gateway/Service.java
+++ b/gateway/src/main/java/weldcross/gateway/Service.java
@@ -13,6 +13,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 import weldcross.seam.Part;
 import weldcross.seam.Seam;
 import weldcross.terms.FaultyTerm;
@@ -80,7 +81,9 @@
         WarmUp.play(terms, WARM_UP);
         Service service = new Service(terms, joining, readWall);
         // Each signal has a thread of its own.
-        Signal.handle(new Signal("HUP"), signal -> service.reload(reader));
+        if (Signal.handle(new Signal("HUP"), signal -> service.reload(reader)) == SignalHandler.SIG_IGN) {
+            LOG.warning("SIGHUP is ignored from the start, as under nohup: a new configuration is not heard of");
+        }
         // Not a shutdown hook: by then the log is closed already, and the status is that of a killed process.
         Signal.handle(new Signal("TERM"), signal -> service.stop());
         Signal.handle(new Signal("INT"), signal -> service.stop());
@@ -100,13 +103,14 @@
         }, LOOK_APART, LOOK_APART);
         try {
             loop.run(gateway);
+            effects.end();
             return 0;
         } catch (Throwable e) {
+            // Its sockets end with the process: MINA's end waits for a thread that may be what broke.
             LOG.log(Level.SEVERE, "the gateway broke", e);
             return BROKEN;
         } finally {
             looks.cancel();
-            effects.end();
         }
     }
 
--- a/gateway/src/test/java/weldcross/gateway/ConnectionEndsTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ConnectionEndsTest.java
@@ -42,6 +42,8 @@
     private final Loop loop = new Loop(this::clock);
     private MinaEffects effects;
     private Gateway gateway;
+    /** MINA waits for ever for the end of what its reading thread served, where that thread is gone. */
+    private boolean broke;
     private InetSocketAddress at;
     private final List<AutoCloseable> open = new ArrayList<>();
     private int named;
@@ -82,7 +84,9 @@
         for (AutoCloseable each : open) {
             each.close();
         }
-        effects.end();
+        if (!broke) {
+            effects.end();
+        }
     }
 
     private void until(BooleanSupplier condition) {
@@ -272,6 +276,27 @@
         until(() -> taken() == 1);
     }
 
+    /** Rule 1: without its reading thread a gateway only seems alive; it comes to its end instead. */
+    @Test
+    void theEndOfTheReadingThreadIsTheEndOfTheGateway() throws Exception {
+        connect();
+        effects.processor.afterReading(() -> {
+            throw new StackOverflowError("planted");
+        });
+        long until = System.nanoTime() + BOUND_NANOS;
+        IllegalStateException told = null;
+        while (told == null && System.nanoTime() < until) {
+            try {
+                loop.catchUp(gateway);
+                Thread.onSpinWait();
+            } catch (IllegalStateException e) {
+                told = e;
+            }
+        }
+        broke = told != null;
+        assertTrue(broke && told.getCause() instanceof StackOverflowError, "told: " + told);
+    }
+
     /** Calls until nobody gets through any more; somebody else may have called there before. */
     private static List<Socket> fillUp(InetSocketAddress to) throws IOException {
         List<Socket> fill = new ArrayList<>();
--- a/gateway/src/test/java/weldcross/gateway/RoundTest.java
+++ b/gateway/src/test/java/weldcross/gateway/RoundTest.java
@@ -71,6 +71,20 @@
         assertTrue(posted.isEmpty(), "nothing is told twice");
     }
 
+    /** Rule 5: an answer to its session's write and a read of it, found in one round, whichever socket comes first. */
+    @Test
+    void whatServersSayIsToldBeforeWhatClientsAsk() {
+        List<String> order = new ArrayList<>();
+        round.tell(7, g -> order.add("asked"));
+        round.heard(g -> order.add("answered"));
+        round.heard(g -> order.add("gone"));
+        round.went(8);
+        round.end();
+        posted.remove(0);
+        posted.forEach(w::tell);
+        assertEquals(List.of("answered", "gone", "asked"), order);
+    }
+
     /** Who came and went in one round leaves nothing behind. */
     @Test
     void whoComesAndGoesInOneRoundIsNobody() {
