A client's time to end a message counts only while the gateway reads

Callers saw: a client with more than 16 statements under way got 58000 for what ran, 53300 for what waited, and the end of its connection (08P01, "a message without an end"), though it had sent everything. The other way round, a client that never ends its message could hold its connection for good.

Cause: one timer, set when a message began, counted the time in which the gateway itself had paused reading. A pause that ended just before it blamed the client; one that ran during a pause was dropped and never set again; and after a standstill it ran before what had arrived was read.

Evidence: a trace of a failed repeat of bufferedStatementsAreAllAccepted. Message 20 begins while reading is paused, reading resumes, its timer closes the client, and only then are the 4,597 buffered bytes decoded, with all 75 statements.

Change: the time begins anew when reading resumes. When it is over, the reading thread looks (Transport.checkMessageIncomplete) until a pass over all pending reads brings nothing more of the message.

--- a/gateway/src/main/java/weldcross/gateway/ClientConnection.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnection.java
@@ -39,6 +39,9 @@
   /** Number of messages received. */
   int messages;
 
+  /** Number of messages received before the last one that was seen to begin; -1 if none was. */
+  private int messagesBeforePartial = -1;
+
   /** When the last response was written, or the connection accepted. */
   Duration idleSince;
 
@@ -48,6 +51,16 @@
     this.idleSince = now;
   }
 
+  /** A message has begun, and its rest is still to come. */
+  void messageStarted() {
+    messagesBeforePartial = messages;
+  }
+
+  /** Whether a message has begun that the gateway has not received completely. */
+  boolean hasPartialMessage() {
+    return messagesBeforePartial == messages;
+  }
+
   /** Whether nothing is received and unanswered, and nothing is being written. */
   boolean isIdle() {
     return inFlight.isEmpty() && !writing && waiting.isEmpty();
--- a/gateway/src/main/java/weldcross/gateway/ClientConnections.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnections.java
@@ -119,21 +119,47 @@
   /** A message has begun, which its client has to end in time. */
   void messageStarted(long number) {
     ClientConnection client = open.get(number);
-    if (client == null) {
+    if (client != null) {
+      client.messageStarted();
+      limitPartialMessage(client);
+    }
+  }
+
+  /** Reading of a client goes on after a pause, in which it could not end its message. */
+  void readingResumed(ClientConnection client) {
+    limitPartialMessage(client);
+  }
+
+  /**
+   * Limits the time that a client has to end its message. The time counts while the gateway reads;
+   * a pause ends only before the message is received, so that one timer a message is enough.
+   */
+  private void limitPartialMessage(ClientConnection client) {
+    if (client.readPaused || !client.hasPartialMessage()) {
       return;
     }
-    int messagesBefore = client.messages;
+    int messages = client.messages;
     gateway.at(
         gateway.now().plus(maxSilence),
         () -> {
-          if (open.get(number) == client
-              && client.messages == messagesBefore
-              && !client.readPaused) {
-            closeWithError(client, "08P01", "a message without an end");
+          if (!client.closed && client.messages == messages) {
+            transport.checkMessageIncomplete(client.number, messages);
           }
         });
   }
 
+  /**
+   * All that a client had sent when its time to end a message was over is read.
+   *
+   * @param messages number of messages received before that one
+   */
+  void messageIncomplete(long number, int messages) {
+    ClientConnection client = open.get(number);
+    if (client != null && client.messages == messages) {
+      closeWithError(client, "08P01", "a message without an end");
+    }
+  }
+
   /** A message cannot be read, and so nothing that follows it can be. */
   void protocolError(long number, String sqlState, String text) {
     ClientConnection client = open.get(number);
--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -28,6 +28,7 @@
   private final ClientMessageDecoder decoder;
   private final ArrayDeque<ByteBuffer> buffered = new ArrayDeque<>();
   private int bufferedBytes;
+  private long receivedBytes;
   private int discardedBytes;
   private volatile boolean paused;
   private volatile boolean discarding;
@@ -54,6 +55,7 @@
 
   @Override
   void read(ByteBuffer in) {
+    receivedBytes += in.remaining();
     if (discarding) {
       buffered.clear();
       discardedBytes += in.remaining();
@@ -109,6 +111,30 @@
     return decoder.messageCount() <= messages && !decoder.isInMessage() && buffered.isEmpty();
   }
 
+  /**
+   * Posts an event if a message is still incomplete when a pass over all pending reads brings
+   * nothing more of it; called by the gateway's thread.
+   *
+   * @param messages number of messages received before that one
+   */
+  void checkMessageIncomplete(int messages) {
+    processor.afterPendingReads(() -> checkMessageIncomplete(messages, receivedBytes));
+  }
+
+  private void checkMessageIncomplete(int messages, long receivedBefore) {
+    processor.afterPendingReads(
+        () -> {
+          if (decoder.messageCount() > messages || !decoder.isInMessage()) {
+            return;
+          }
+          if (receivedBytes > receivedBefore || !buffered.isEmpty()) {
+            checkMessageIncomplete(messages, receivedBytes);
+          } else {
+            batch.addForClient(number, g -> g.clients().messageIncomplete(number, messages));
+          }
+        });
+  }
+
   /** Discards all that is received from now on; may be called from any thread. */
   void discardInput() {
     discarding = true;
--- a/gateway/src/main/java/weldcross/gateway/JitWarmUp.java
+++ b/gateway/src/main/java/weldcross/gateway/JitWarmUp.java
@@ -160,6 +160,9 @@
   @Override
   public void closeIfQuiet(long connection, int messages) {}
 
+  @Override
+  public void checkMessageIncomplete(long connection, int messages) {}
+
   @Override
   public void closeGracefully(long connection) {}
 }
--- a/gateway/src/main/java/weldcross/gateway/MinaTransport.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaTransport.java
@@ -293,6 +293,14 @@
     return true;
   }
 
+  @Override
+  public void checkMessageIncomplete(long connection, int messages) {
+    IoSession session = sessions.get(connection);
+    if (session != null) {
+      clientStreamOf(session).checkMessageIncomplete(messages);
+    }
+  }
+
   @Override
   public void closeGracefully(long connection) {
     IoSession session = sessions.get(connection);
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -146,6 +146,7 @@
     if (client.readPaused && client.waiting.isEmpty() && !client.closed) {
       client.readPaused = false;
       transport.setReading(client.number, true);
+      clients.readingResumed(client);
     }
   }
 
--- a/gateway/src/main/java/weldcross/gateway/Transport.java
+++ b/gateway/src/main/java/weldcross/gateway/Transport.java
@@ -79,6 +79,16 @@
    */
   void closeIfQuiet(long connection, int messages);
 
+  /**
+   * Looks whether a client's message is incomplete once all that has arrived of it was read,
+   * however many reads that takes. An event tells if it is; none comes if the message has ended or
+   * the connection is closed.
+   *
+   * @param connection the client's connection, whose reading is not paused
+   * @param messages number of messages received before that one
+   */
+  void checkMessageIncomplete(long connection, int messages);
+
   /**
    * Half-closes a client's connection once everything that was written to it is sent; what arrives
    * later is read and ignored.
--- a/gateway/src/test/java/weldcross/gateway/ConnectionCloseTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ConnectionCloseTest.java
@@ -3,20 +3,27 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -146,7 +153,27 @@
     try {
       return socket.getInputStream().available();
     } catch (IOException e) {
-      throw new java.io.UncheckedIOException(e);
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the bytes of a client that have arrived and that the gateway has not read. */
+  private int unreadBytes(Socket client) {
+    String ports = String.format(":%04X [^ ]*:%04X ", address.getPort(), client.getLocalPort());
+    Pattern line = Pattern.compile(ports + "[0-9A-F]+ [0-9A-F]+:([0-9A-F]+) ");
+    int unread = 0;
+    for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+      Matcher found = line.matcher(readTable(Path.of(table)));
+      unread += found.find() ? Integer.parseInt(found.group(1), 16) : 0;
+    }
+    return unread;
+  }
+
+  private static String readTable(Path table) {
+    try {
+      return Files.exists(table) ? Files.readString(table) : "";
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
   }
 
@@ -157,10 +184,16 @@
   }
 
   private ByteBuffer read() {
+    return read(60_000);
+  }
+
+  private ByteBuffer read(int timeoutMillis) {
     return MessageEncoder.query(
         "SELECT content FROM kv WHERE name = 'k' /* id=a"
             + nextRequest++
-            + ",c=look,d=60000,cluster=0 */");
+            + ",c=look,d="
+            + timeoutMillis
+            + ",cluster=0 */");
   }
 
   private void sendReads(Socket client, int statements) throws IOException {
@@ -169,6 +202,22 @@
     }
   }
 
+  /** Sends more statements than run at a time, and a part of the next; returns its rest. */
+  private byte[] pauseWithinAMessage(Socket client, int timeoutMillis) throws IOException {
+    ByteArrayOutputStream sent = new ByteArrayOutputStream();
+    for (int k = 0; k < 18; k++) {
+      sent.writeBytes(read(timeoutMillis).array());
+    }
+    byte[] last = read(timeoutMillis).array();
+    sent.write(last, 0, 60);
+    client.getOutputStream().write(sent.toByteArray());
+    until(() -> acceptedRequests() == 16);
+    for (int pass = 0; pass < 4; pass++) {
+      finishReading();
+    }
+    return Arrays.copyOfRange(last, 60, last.length);
+  }
+
   private int acceptedRequests() {
     return Integer.parseInt(gateway.describe().split("; ", -1)[1].split(" ", -1)[0]);
   }
@@ -266,6 +315,52 @@
     assertEquals(all, acceptedRequests());
   }
 
+  /** The gateway did not read meanwhile: not the client's silence. */
+  @Test
+  void messageIsEndedAfterAPauseOfReading() throws Exception {
+    Socket client = connect();
+    byte[] rest = pauseWithinAMessage(client, 4_000);
+    // What runs is rejected at 0.45 of its time, and reading goes on.
+    moveClock(1_850);
+    until(() -> acceptedRequests() == 18);
+    moveClock(300);
+    finishReading();
+    client.getOutputStream().write(rest);
+    until(() -> acceptedRequests() == 19);
+  }
+
+  /** A client that never ends its message holds a connection. */
+  @Test
+  void messageWithoutAnEndIsClosedAfterAPauseOfReading() throws Exception {
+    Socket client = connect();
+    pauseWithinAMessage(client, 8_000);
+    moveClock(2_050);
+    moveClock(1_600);
+    until(() -> acceptedRequests() == 18);
+    moveClock(2_100);
+    until(() -> clients() == 0);
+  }
+
+  /** The process stood still: what its client had sent is read before that is judged. */
+  @Test
+  void messageEndedWhileNobodyReadsIsServed() throws Exception {
+    Socket first = connect();
+    Socket client = connect();
+    byte[] statement = read().array();
+    client.getOutputStream().write(statement, 0, 60);
+    for (int pass = 0; pass < 4; pass++) {
+      finishReading();
+    }
+    readerHold = new CountDownLatch(1);
+    sendReads(first, 1);
+    until(() -> readerWaits);
+    client.getOutputStream().write(statement, 60, statement.length - 60);
+    until(() -> unreadBytes(client) == statement.length - 60);
+    moveClock(2_100);
+    readerHold.countDown();
+    until(() -> acceptedRequests() == 2);
+  }
+
   /** Nobody waits for it any more. */
   @Test
   void statementReadWithItsClientsDisconnectIsNotAccepted() throws Exception {
--- a/gateway/src/test/java/weldcross/gateway/FakeTransport.java
+++ b/gateway/src/test/java/weldcross/gateway/FakeTransport.java
@@ -47,6 +47,9 @@
   /** Clients to be closed if quiet, with the number of messages known of each. */
   final Map<Long, Integer> pendingCloses = new LinkedHashMap<>();
 
+  /** Clients whose message is to be looked at, with the number of messages known of each. */
+  final Map<Long, Integer> pendingChecks = new LinkedHashMap<>();
+
   /** Connections that were closed, and not only ended from here. */
   final Set<Long> droppedNumbers = new HashSet<>();
 
@@ -218,6 +221,27 @@
         });
   }
 
+  @Override
+  public void checkMessageIncomplete(long number, int messages) {
+    pendingChecks.put(number, messages);
+    if (!readsDelayed) {
+      gateway.soon(this::decideChecks);
+    }
+  }
+
+  /** All that was received by now is read: whoever has not ended its message is reported. */
+  void decideChecks() {
+    Map<Long, Integer> all = new LinkedHashMap<>(pendingChecks);
+    pendingChecks.clear();
+    all.forEach(
+        (number, messages) -> {
+          FakeConnection connection = connections.get(number);
+          if (connection.open && connection.clientDecoder.messageCount() <= messages) {
+            gateway.clients().messageIncomplete(number, messages);
+          }
+        });
+  }
+
   @Override
   public void closeNow(long number) {
     droppedNumbers.add(number);
--- a/gateway/src/test/java/weldcross/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/weldcross/gateway/GatewayHarness.java
@@ -348,6 +348,7 @@
   /** Decides all pending closes, and has the gateway handle what follows. */
   void finishReads() {
     dispatch(g -> decideCloses());
+    dispatch(g -> decideChecks());
     completeWrites();
   }
 }
