FaultInjectorTest waits until both directions of a paused peer are given up

Callers saw nothing.

Cause: the test. Each direction has a connection and heartbeats of its own, up to 250 ms apart. n1 was let go on as soon as n0 had given up its own; where n1's heartbeat had been the later one, n1 was back in time and its connection went on. The trace is in docs/incidents: n0's connection down at 19.363 s, n1's, up since 17.887 s, never down at either end, and nothing lost on it.

The product may do so (docs/mesh.md: the directions fail independently), and PeerConnectionManagerTest.peerBackBeforeItsOwnConnectionExpiresLosesNoMessage holds that down.

--- a/chaos/src/test/java/weldcross/chaos/FaultInjectorTest.java
+++ b/chaos/src/test/java/weldcross/chaos/FaultInjectorTest.java
@@ -14,14 +14,13 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import weldcross.chaos.load.ClientOperation;
 import weldcross.chaos.load.LoadGenerator;
 import weldcross.chaos.load.RequestType;
@@ -36,11 +35,13 @@
 @Timeout(120)
 class FaultInjectorTest {
 
-  @TempDir private Path folder;
+  @RegisterExtension final RunDirectory runDirectory = new RunDirectory();
 
   private ChaosCluster cluster(int gateways) throws IOException {
     return new ChaosCluster(
-        TestScenarios.scenario().gateways(gateways).linked(true).log("FINE").build(), 3, folder);
+        TestScenarios.scenario().gateways(gateways).linked(true).log("FINE").build(),
+        3,
+        runDirectory.path());
   }
 
   private static void logs(GatewayNode gateway, int from, String text) throws IOException {
@@ -115,6 +116,8 @@
       assertEquals('T', n1.process().state());
       assertFalse(n1.isReady());
       logs(n0, 0, "mesh: connection down: peer=n1 reason=HEARTBEAT_TIMEOUT");
+      // Each direction has a connection: n1's own is given up a heartbeat earlier or later.
+      logs(n0, 0, "mesh: inbound connection down: peer=n1 reason=HEARTBEAT_TIMEOUT");
       injector.end(pause, LAG);
       logs(n1, 0, "mesh: connection down: peer=n0");
       Await.until("serves again", Duration.ofSeconds(20), n1::isReady);
