Three places that Checkstyle names are mended

mvn checkstyle:check failed on by two variables that are used late and an overload apart from its others. It passes now; no behaviour changes.

--- a/gateway/src/main/java/weldcross/membership/net/MembershipExtension.java
+++ b/gateway/src/main/java/weldcross/membership/net/MembershipExtension.java
@@ -112,7 +112,7 @@
   }
 
   private void dispatch(PeerName from, MembershipMessage message) {
-    LOG.fine(() -> "membership: message received: peer=" + from + " " + describe(message));
+    LOG.fine(() -> "membership: message received: peer=" + from + " " + summary(message));
     Duration now = context.now();
     List<MembershipUpdate> updates = MembershipUpdateCodec.decodeAll(message.getUpdatesList());
     switch (message.getKindCase()) {
@@ -169,11 +169,11 @@
       PeerName to, MembershipMessage.Builder message, List<MembershipUpdate> updates) {
     message.addAllUpdates(MembershipUpdateCodec.encodeAll(updates));
     MembershipMessage complete = message.build();
-    LOG.fine(() -> "membership: message sent: peer=" + to + " " + describe(complete));
+    LOG.fine(() -> "membership: message sent: peer=" + to + " " + summary(complete));
     mesh.sendDatagram(to, SUBJECT, complete.toByteString().asReadOnlyByteBuffer());
   }
 
-  private static String describe(MembershipMessage message) {
+  private static String summary(MembershipMessage message) {
     return switch (message.getKindCase()) {
       case PING -> "kind=PING sequence=" + message.getPing();
       case ACK -> "kind=ACK sequence=" + message.getAck();
--- a/gateway/src/test/java/weldcross/gateway/ConnectionCloseTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ConnectionCloseTest.java
@@ -319,7 +319,7 @@
   @Test
   void messageIsEndedAfterAPauseOfReading() throws Exception {
     Socket client = connect();
-    byte[] rest = pauseWithinAMessage(client, 4_000);
+    final byte[] rest = pauseWithinAMessage(client, 4_000);
     // What runs is rejected at 0.45 of its time, and reading goes on.
     moveClock(1_850);
     until(() -> acceptedRequests() == 18);
@@ -344,7 +344,7 @@
   /** The process stood still: what its client had sent is read before that is judged. */
   @Test
   void messageEndedWhileNobodyReadsIsServed() throws Exception {
-    Socket first = connect();
+    final Socket first = connect();
     Socket client = connect();
     byte[] statement = read().array();
     client.getOutputStream().write(statement, 0, 60);
