Soak: gateways through series of signals, with clients that keep their connections

Asked for by the operators: nothing so far sent on open connections up to the kill, or signals in series. weldcross-chaos soak draws a plan by its seed (docs/chaos.md), carries it out on processes and judges it with the history checker and three checks of its own: processes, drains, crossed closes.

The statement's text and the meaning of an SQLSTATE, which the load generator had for itself, are shared.

--- a/chaos/src/main/java/weldcross/chaos/ChaosCluster.java
+++ b/chaos/src/main/java/weldcross/chaos/ChaosCluster.java
@@ -140,9 +140,18 @@
 
   /** Publishes a server in the endpoint list as it is now. */
   void publish(FakePostgresServer server) {
+    publishAs("active", server);
+  }
+
+  /** Publishes that a server drains. */
+  void publishDraining(FakePostgresServer server) {
+    publishAs("leaving", server);
+  }
+
+  private void publishAs(String phase, FakePostgresServer server) {
     catalog.publish(
         new FakeDiscoveryCatalog.Member(
-            server.name(), server.group(), ZONE, "active", server.upSinceMillis()));
+            server.name(), server.group(), ZONE, phase, server.upSinceMillis()));
   }
 
   /**
--- a/chaos/src/main/java/weldcross/chaos/GatewayNode.java
+++ b/chaos/src/main/java/weldcross/chaos/GatewayNode.java
@@ -173,6 +173,11 @@
     return clientRoute.address();
   }
 
+  /** Returns where it listens for clients itself, past the proxy. */
+  InetSocketAddress directAddress() {
+    return new InetSocketAddress(host, CLIENT_PORT);
+  }
+
   /**
    * Returns its control endpoint.
    *
@@ -277,7 +282,7 @@
    */
   public boolean isReady() {
     try (Socket socket = new Socket()) {
-      socket.connect(new InetSocketAddress(host, CLIENT_PORT), CONNECT_TIMEOUT_MILLIS);
+      socket.connect(directAddress(), CONNECT_TIMEOUT_MILLIS);
       socket.setSoTimeout(CONNECT_TIMEOUT_MILLIS);
       socket.getOutputStream().write(startupAndEmptyQuery());
       DataInputStream in = new DataInputStream(socket.getInputStream());
--- a/chaos/src/main/java/weldcross/chaos/Main.java
+++ b/chaos/src/main/java/weldcross/chaos/Main.java
@@ -32,7 +32,7 @@
 @Command(
     name = "weldcross-chaos",
     mixinStandardHelpOptions = true,
-    subcommands = {Main.Run.class, Main.ListScenarios.class, Main.Report.class},
+    subcommands = {Main.Run.class, Main.ListScenarios.class, Main.Report.class, SoakCommand.class},
     description = "Runs scenarios on real gateway processes and checks the recorded history.",
     synopsisSubcommandLabel = "COMMAND")
 public final class Main implements Runnable {
--- /dev/null
+++ b/chaos/src/main/java/weldcross/chaos/SoakResult.java
@@ -0,0 +1,92 @@
+package weldcross.chaos;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import weldcross.chaos.history.HistoryChecker.Violation;
+import weldcross.chaos.load.ClientOperation;
+import weldcross.chaos.load.ClientOperation.Outcome;
+import weldcross.chaos.process.ProcessUsage;
+import weldcross.chaos.soak.ProcessExit;
+import weldcross.chaos.soak.SoakPlan;
+import weldcross.chaos.soak.SoakVerdict;
+
+/**
+ * What came of a soak.
+ *
+ * @param plan what was done
+ * @param verdict what it showed
+ * @param exits how processes ended
+ * @param usageAtStart by gateway, before clients sent anything
+ * @param usageAtEnd by gateway, of the processes that ran at the end
+ */
+public record SoakResult(
+    SoakPlan plan,
+    SoakVerdict verdict,
+    List<ProcessExit> exits,
+    Map<String, ProcessUsage> usageAtStart,
+    Map<String, ProcessUsage> usageAtEnd) {
+
+  /**
+   * Describes it for a terminal.
+   *
+   * @return one line of counts, one for each gateway and each violation
+   */
+  public String describe() {
+    List<String> lines = new ArrayList<>();
+    long killed = exits.stream().filter(ProcessExit::killed).count();
+    lines.add(
+        "seed "
+            + plan.seed()
+            + (plan.hasCrowd() ? " with a crowd" : "")
+            + ": "
+            + verdict.history().operations().size()
+            + " requests, "
+            + count(Outcome.OK)
+            + " served, "
+            + count(Outcome.REJECTED)
+            + " rejected, "
+            + count(Outcome.FAILED)
+            + " failed, "
+            + count(Outcome.NOT_SENT)
+            + " not sent ("
+            + verdict.crossings()
+            + " crossed a close), "
+            + (count(Outcome.TIMED_OUT) + count(Outcome.CONNECTION_CLOSED))
+            + " without an answer; "
+            + exits.size()
+            + " stops, "
+            + killed
+            + " killed; "
+            + verdict.violations().size()
+            + " violations");
+    exits.stream()
+        .filter(ProcessExit::killed)
+        .forEach(exit -> lines.add("had to be killed: " + exit.describe()));
+    usageAtStart.forEach((gateway, usage) -> lines.add(usageLine(gateway, usage)));
+    for (Violation violation : verdict.violations()) {
+      lines.add(
+          violation.rule().description()
+              + ": "
+              + violation.rpc()
+              + " at "
+              + violation.at() / 1_000_000
+              + " ms, "
+              + violation.description());
+    }
+    return String.join("\n", lines);
+  }
+
+  private String usageLine(String gateway, ProcessUsage atStart) {
+    ProcessUsage atEnd = usageAtEnd.get(gateway);
+    String end = atEnd == null ? "ended" : atEnd.describe();
+    return gateway + ": " + atStart.describe() + " at the start, " + end + " at the end";
+  }
+
+  private long count(Outcome outcome) {
+    return verdict.history().operations().stream()
+        .map(ClientOperation::outcome)
+        .filter(outcome::equals)
+        .count();
+  }
+}
--- a/chaos/src/main/java/weldcross/chaos/history/HistoryChecker.java
+++ b/chaos/src/main/java/weldcross/chaos/history/HistoryChecker.java
@@ -33,6 +33,10 @@
     REFUSED_HARMLESS("what was refused has not run"),
     /** No read is staler than its class allows. */
     FRESH("no stale read"),
+    /** Nothing is sent to a server long after it began to drain. */
+    DRAINS_KEPT("nothing goes to a draining server"),
+    /** A gateway ends only when it is told to, and in order. */
+    PROCESS_RUNS("no process ends by itself or with a fault"),
     /** Membership views of one number have the same members. */
     ONE_VIEW("views of one number are one"),
     /** Within one process membership views never go back. */
--- a/chaos/src/main/java/weldcross/chaos/load/ClientOperation.java
+++ b/chaos/src/main/java/weldcross/chaos/load/ClientOperation.java
@@ -36,6 +36,9 @@
   /** An answer is waited for beyond the request's deadline by this much, as the platform does. */
   public static final Duration DEADLINE_SLACK = Duration.ofMillis(50);
 
+  private static final String TOO_MANY_CONNECTIONS = "53300";
+  private static final String CANNOT_CONNECT_NOW = "57P03";
+
   /** What became of a request. */
   public enum Outcome {
     /** It was served. */
@@ -56,12 +59,30 @@
     @JsonAlias("SILENT")
     TIMED_OUT;
 
+    /** Returns what an error with this SQLSTATE says of its request. */
+    static Outcome ofError(String sqlState) {
+      boolean rejected =
+          sqlState.equals(TOO_MANY_CONNECTIONS) || sqlState.equals(CANNOT_CONNECT_NOW);
+      return rejected ? REJECTED : FAILED;
+    }
+
     /** Whether the client got no answer at all. */
     boolean isUnanswered() {
       return this == NOT_SENT || this == CONNECTION_CLOSED || this == TIMED_OUT;
     }
   }
 
+  /**
+   * Returns this request with another outcome.
+   *
+   * @param other what became of it
+   * @return the changed record
+   */
+  public ClientOperation with(Outcome other) {
+    return new ClientOperation(
+        rpc, session, type, group, gateway, sent, ended, other, value, detail, after);
+  }
+
   /**
    * Returns how long it took.
    *
--- a/chaos/src/main/java/weldcross/chaos/load/LoadGenerator.java
+++ b/chaos/src/main/java/weldcross/chaos/load/LoadGenerator.java
@@ -35,8 +35,6 @@
   private static final int MAX_SESSION_REQUESTS = 12;
   private static final long CLIENT_STACK_BYTES = 192 << 10;
   private static final long STOP_TIMEOUT_SECONDS = 10;
-  private static final String TOO_MANY_CONNECTIONS = "53300";
-  private static final String CANNOT_CONNECT_NOW = "57P03";
 
   private final List<InetSocketAddress> gateways;
   private final int groups;
@@ -274,7 +272,7 @@
     void run() {
       try {
         connection = takeConnection(gateway);
-        connection.send(statement());
+        connection.send(RequestStatement.of(type, id, key, session.group));
         sent = clock.getAsLong();
         long deadline = sent + type.deadline().plus(ClientOperation.DEADLINE_SLACK).toNanos();
         onAnswer(connection.awaitAnswer(deadline, clock));
@@ -306,7 +304,7 @@
         value = answer.value();
       } else {
         detail = answer.errorCode().get();
-        outcome = isRejection(detail) ? Outcome.REJECTED : Outcome.FAILED;
+        outcome = Outcome.ofError(detail);
       }
       if (outcome == Outcome.REJECTED) {
         retryAfter = Optional.of(answer.retryAfter().orElse(DEFAULT_RETRY_AFTER));
@@ -318,27 +316,6 @@
       }
     }
 
-    private String statement() {
-      String comment =
-          " /* id="
-              + id
-              + ",c="
-              + type.className()
-              + ",d="
-              + type.deadline().toMillis()
-              + ",cluster="
-              + session.group
-              + " */";
-      return type.isWrite()
-          ? "INSERT INTO kv (name, content) VALUES ('"
-              + key
-              + "', '\\x"
-              + id
-              + "') RETURNING content"
-              + comment
-          : "SELECT content FROM kv WHERE name = '" + key + "'" + comment;
-    }
-
     ClientOperation toOperation() {
       return new ClientOperation(
           id,
@@ -355,10 +332,6 @@
     }
   }
 
-  private static boolean isRejection(String errorCode) {
-    return errorCode.equals(TOO_MANY_CONNECTIONS) || errorCode.equals(CANNOT_CONNECT_NOW);
-  }
-
   /** Takes an idle connection to a gateway, or opens one. */
   private GatewayConnection takeConnection(int gateway) throws IOException {
     GatewayConnection connection = pollIdle(gateway);
--- a/chaos/src/main/java/weldcross/chaos/process/ManagedProcess.java
+++ b/chaos/src/main/java/weldcross/chaos/process/ManagedProcess.java
@@ -70,6 +70,15 @@
     signal("TERM");
   }
 
+  /**
+   * Sends SIGHUP and returns at once.
+   *
+   * @throws IOException if the signal cannot be sent
+   */
+  public void hangUp() throws IOException {
+    signal("HUP");
+  }
+
   /**
    * Sends SIGKILL and waits for its end.
    *
--- /dev/null
+++ b/chaos/src/test/java/weldcross/chaos/soak/SoakVerdictTest.java
@@ -0,0 +1,127 @@
+package weldcross.chaos.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import weldcross.chaos.history.History;
+import weldcross.chaos.history.HistoryChecker.Rule;
+import weldcross.chaos.history.HistoryChecker.Violation;
+import weldcross.chaos.load.ClientOperation;
+import weldcross.chaos.load.ClientOperation.Outcome;
+import weldcross.chaos.load.RequestType;
+import weldcross.fakes.ReplicatedStoreModel.Arrival;
+
+/** Each check of a soak finds what is planted for it. */
+class SoakVerdictTest {
+
+  private static final Duration SECOND = Duration.ofSeconds(1);
+
+  /** n0 stops from 1 s to 2 s. */
+  private static final SoakObservations.CloseWindow STOP =
+      new SoakObservations.CloseWindow("n0", SECOND, SECOND.multipliedBy(2));
+
+  private static ClientOperation read(Outcome outcome, Duration sent, Duration ended) {
+    return new ClientOperation(
+        "a1",
+        "c0",
+        RequestType.SESSION_READ,
+        0,
+        "n0",
+        sent.toNanos(),
+        ended.toNanos(),
+        outcome,
+        "",
+        "ended",
+        "");
+  }
+
+  private static SoakVerdict verdict(
+      List<ClientOperation> operations,
+      List<Arrival> arrivals,
+      List<ProcessExit> exits,
+      List<SoakObservations.Drain> drains) {
+    History history = new History(operations, List.of(), List.of(), List.of(), List.of());
+    return SoakVerdict.of(new SoakObservations(history, arrivals, exits, List.of(STOP), drains));
+  }
+
+  private static SoakVerdict verdictOf(ClientOperation operation, Arrival... arrivals) {
+    return verdict(List.of(operation), List.of(arrivals), List.of(), List.of());
+  }
+
+  private static List<Rule> broken(SoakVerdict verdict) {
+    return verdict.violations().stream().map(Violation::rule).toList();
+  }
+
+  private static Duration millis(long count) {
+    return Duration.ofMillis(count);
+  }
+
+  @Test
+  void requestThatCrossesTheCloseOfItsConnectionInAStopIsNotSent() {
+    SoakVerdict verdict = verdictOf(read(Outcome.CONNECTION_CLOSED, millis(1_500), millis(1_510)));
+    assertEquals(List.of(), broken(verdict));
+    assertEquals(1, verdict.crossings());
+  }
+
+  @Test
+  void requestDroppedAfterItWasForwardedIsFound() {
+    SoakVerdict verdict =
+        verdictOf(
+            read(Outcome.CONNECTION_CLOSED, millis(1_500), millis(1_510)),
+            new Arrival(millis(1_505).toNanos(), "a1", "s0", 1));
+    assertEquals(List.of(Rule.ONE_ANSWER), broken(verdict));
+  }
+
+  @Test
+  void requestThatIsOpenWhenItsGatewayIsKilledIsFound() {
+    assertEquals(
+        List.of(Rule.ONE_ANSWER),
+        broken(verdictOf(read(Outcome.CONNECTION_CLOSED, millis(1_500), millis(1_900)))));
+  }
+
+  @Test
+  void connectionClosedWithoutAReasonIsFound() {
+    assertEquals(
+        List.of(Rule.ONE_ANSWER),
+        broken(verdictOf(read(Outcome.CONNECTION_CLOSED, millis(500), millis(501)))));
+  }
+
+  @Test
+  void lateAnswerIsFound() {
+    assertEquals(
+        List.of(Rule.ONE_ANSWER),
+        broken(verdictOf(read(Outcome.TIMED_OUT, millis(500), millis(1_900)))));
+  }
+
+  private static List<Rule> brokenBy(ProcessExit exit) {
+    return broken(verdict(List.of(), List.of(), List.of(exit), List.of()));
+  }
+
+  @Test
+  void processThatEndsByItselfOrWithAFaultIsFound() {
+    assertEquals(
+        List.of(Rule.PROCESS_RUNS), brokenBy(new ProcessExit("n0", null, SECOND, false, 0, false)));
+    assertEquals(
+        List.of(Rule.PROCESS_RUNS),
+        brokenBy(new ProcessExit("n0", SECOND, SECOND, false, 70, false)));
+    assertEquals(
+        List.of(Rule.PROCESS_RUNS),
+        brokenBy(new ProcessExit("n0", SECOND, SECOND, false, 143, false)));
+    assertEquals(List.of(), brokenBy(new ProcessExit("n0", SECOND, SECOND, false, 143, true)));
+    assertEquals(List.of(), brokenBy(new ProcessExit("n0", SECOND, SECOND, true, 0, false)));
+  }
+
+  @Test
+  void requestSentToAServerLongAfterItsDrainBeganIsFound() {
+    List<SoakObservations.Drain> drains =
+        List.of(new SoakObservations.Drain("s1", SECOND, millis(11_000)));
+    Arrival inTime = new Arrival(millis(8_900).toNanos(), "a1", "s1", 1);
+    Arrival late = new Arrival(millis(9_600).toNanos(), "a2", "s1", 1);
+    Arrival after = new Arrival(millis(11_100).toNanos(), "a3", "s1", 1);
+    SoakVerdict verdict = verdict(List.of(), List.of(inTime, late, after), List.of(), drains);
+    assertEquals(List.of(Rule.DRAINS_KEPT), broken(verdict));
+    assertEquals("a2", verdict.violations().get(0).rpc());
+  }
+}
