Soak: servers that lag, and the age of bounded reads when the gateway sends them

The history checker counts a staleness bound from the client's send, so that a gateway that decides, stands still and then sends would pass. Planted: SoakVerdictTest.readThatWasSentOnLongAfterItsDecisionIsFound.

--- a/chaos/src/main/java/weldcross/chaos/SoakRun.java
+++ b/chaos/src/main/java/weldcross/chaos/SoakRun.java
@@ -199,7 +199,7 @@
     try {
       switch (step.kind()) {
         case CROWD -> crowd(step);
-        case SERVER_HANGS, SERVER_RESTARTS -> faultAtServer(step);
+        case SERVER_HANGS, SERVER_RESTARTS, SERVER_LAGS -> faultAtServer(step);
         case SERVER_DRAINS -> drain(step);
         case DISCOVERY_DOWN, DISCOVERY_LATE -> faultAtDiscovery(step);
         default -> signalAll(step);
@@ -295,11 +295,15 @@
 
   private void faultAtServer(SoakStep step) throws IOException {
     Fault.Kind kind =
-        step.kind() == SoakStep.Kind.SERVER_HANGS
-            ? Fault.Kind.SERVER_STALL
-            : Fault.Kind.SERVER_KILL;
+        switch (step.kind()) {
+          case SERVER_HANGS -> Fault.Kind.SERVER_STALL;
+          case SERVER_LAGS -> Fault.Kind.LAG;
+          default -> Fault.Kind.SERVER_KILL;
+        };
+    boolean lags = kind == Fault.Kind.LAG;
+    String details = lags ? Long.toString(step.times().get(1).toMillis()) : "";
     for (String server : step.hosts()) {
-      act(new Fault(step.at(), step.times().get(0), kind, server, "", ""));
+      act(new Fault(step.at(), step.times().get(0), kind, server, "", details));
     }
   }
 
--- a/chaos/src/main/java/weldcross/chaos/soak/SoakPlan.java
+++ b/chaos/src/main/java/weldcross/chaos/soak/SoakPlan.java
@@ -49,6 +49,7 @@
           SoakStep.Kind.SERVER_HANGS,
           SoakStep.Kind.SERVER_RESTARTS,
           SoakStep.Kind.SERVER_DRAINS,
+          SoakStep.Kind.SERVER_LAGS,
           SoakStep.Kind.DISCOVERY_DOWN,
           SoakStep.Kind.DISCOVERY_LATE);
 
@@ -105,6 +106,10 @@
         switch (kind) {
           case SERVER_DRAINS -> millis(random, 1, 9_000, 12_000);
           case DISCOVERY_LATE -> millis(random, 2, 200, 1_500);
+          case SERVER_LAGS ->
+              List.of(
+                  Duration.ofMillis(random.nextInt(2_000, 6_000)),
+                  Duration.ofMillis(random.nextInt(300, 780)));
           default -> millis(random, 1, 300, 4_000);
         };
     boolean onServer = kind.name().startsWith("SERVER");
--- a/chaos/src/main/java/weldcross/chaos/soak/SoakStep.java
+++ b/chaos/src/main/java/weldcross/chaos/soak/SoakStep.java
@@ -34,6 +34,8 @@
     SERVER_RESTARTS(false),
     /** A server drains for the first of the times. */
     SERVER_DRAINS(false),
+    /** A server's data are behind, for the first of the times, by the second. */
+    SERVER_LAGS(false),
     /** Discovery cannot be reached for the first of the times. */
     DISCOVERY_DOWN(false),
     /** What discovery says comes late, for the first of the times, by the second. */
@@ -64,7 +66,7 @@
    */
   public String lane() {
     return switch (kind) {
-      case SERVER_HANGS, SERVER_RESTARTS, SERVER_DRAINS -> String.join(",", hosts);
+      case SERVER_HANGS, SERVER_RESTARTS, SERVER_DRAINS, SERVER_LAGS -> String.join(",", hosts);
       case DISCOVERY_DOWN, DISCOVERY_LATE -> "discovery";
       case CROWD -> "crowd";
       default -> "signals";
--- a/chaos/src/main/java/weldcross/chaos/soak/SoakVerdict.java
+++ b/chaos/src/main/java/weldcross/chaos/soak/SoakVerdict.java
@@ -2,16 +2,21 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import weldcross.chaos.history.History;
 import weldcross.chaos.history.HistoryChecker;
 import weldcross.chaos.history.HistoryChecker.Rule;
 import weldcross.chaos.history.HistoryChecker.Violation;
 import weldcross.chaos.load.ClientOperation;
 import weldcross.chaos.load.ClientOperation.Outcome;
+import weldcross.chaos.load.RequestType;
+import weldcross.fakes.ReplicatedStoreModel;
 
 /**
  * What a soak showed: all rules of the history checker, and those on processes and drains.
@@ -34,6 +39,9 @@
   /** Between the send of a statement and its record at the server. */
   static final Duration RECORD_SLACK = Duration.ofMillis(500);
 
+  /** A gateway may be held up by 0.15 s between its clock and its write; the rest is the way. */
+  static final Duration SEND_SLACK = Duration.ofMillis(200);
+
   /**
    * Judges a soak.
    *
@@ -61,6 +69,7 @@
     List<Violation> violations = new ArrayList<>(HistoryChecker.check(history));
     checkExits(observations, violations);
     checkDrains(observations, violations);
+    checkAgeAtSend(observations, violations);
     return new SoakVerdict(history, crossings, List.copyOf(violations));
   }
 
@@ -96,6 +105,53 @@
     }
   }
 
+  /**
+   * A staleness bound counts from the gateway's send, which may come long after the client's. The
+   * answer is that of one of the reads done for the request: the freshest that gave its value.
+   */
+  private static void checkAgeAtSend(SoakObservations observations, List<Violation> violations) {
+    Map<String, Long> sequences = new HashMap<>();
+    observations
+        .history()
+        .commits()
+        .forEach(commit -> sequences.put(commit.value(), commit.sequence()));
+    Map<String, List<ReplicatedStoreModel.Read>> reads =
+        observations.history().reads().stream()
+            .collect(Collectors.groupingBy(ReplicatedStoreModel.Read::rpc));
+    Map<String, List<ReplicatedStoreModel.Arrival>> arrivals =
+        observations.arrivals().stream()
+            .collect(Collectors.groupingBy(ReplicatedStoreModel.Arrival::rpc));
+    for (ClientOperation operation : observations.history().operations()) {
+      if (operation.type() == RequestType.BOUNDED_READ && operation.outcome() == Outcome.OK) {
+        long seen = sequences.getOrDefault(operation.value(), 0L);
+        long age =
+            reads.getOrDefault(operation.rpc(), List.of()).stream()
+                .filter(read -> read.seen() == seen)
+                .mapToLong(read -> ageAtArrival(read, arrivals.get(operation.rpc())))
+                .min()
+                .orElse(Long.MAX_VALUE);
+        if (age > operation.type().stalenessBound().plus(SEND_SLACK).toNanos()) {
+          violations.add(
+              new Violation(
+                  Rule.FRESH,
+                  operation.rpc(),
+                  operation.sent(),
+                  "data of " + TimeUnit.NANOSECONDS.toMillis(age) + " ms before it was sent on"));
+        }
+      }
+    }
+  }
+
+  private static long ageAtArrival(
+      ReplicatedStoreModel.Read read, List<ReplicatedStoreModel.Arrival> arrivals) {
+    return arrivals.stream()
+            .filter(arrival -> arrival.server().equals(read.server()) && arrival.at() <= read.at())
+            .mapToLong(ReplicatedStoreModel.Arrival::at)
+            .max()
+            .orElse(read.at())
+        - read.position();
+  }
+
   private static Violation afterDrain(SoakObservations.Drain drain, String rpc, long at) {
     long millis = TimeUnit.NANOSECONDS.toMillis(at) - drain.from().toMillis();
     String found = "at " + drain.server() + " " + millis + " ms after it began to drain";
--- a/chaos/src/test/java/weldcross/chaos/soak/SoakVerdictTest.java
+++ b/chaos/src/test/java/weldcross/chaos/soak/SoakVerdictTest.java
@@ -12,6 +12,7 @@
 import weldcross.chaos.load.ClientOperation.Outcome;
 import weldcross.chaos.load.RequestType;
 import weldcross.fakes.ReplicatedStoreModel.Arrival;
+import weldcross.fakes.ReplicatedStoreModel.Read;
 
 /** Each check of a soak finds what is planted for it. */
 class SoakVerdictTest {
@@ -113,6 +114,35 @@
     assertEquals(List.of(), brokenBy(new ProcessExit("n0", SECOND, SECOND, true, 0, false)));
   }
 
+  @Test
+  void readThatWasSentOnLongAfterItsDecisionIsFound() {
+    ClientOperation bounded =
+        new ClientOperation(
+            "a1",
+            "c0",
+            RequestType.BOUNDED_READ,
+            0,
+            "n0",
+            millis(1_000).toNanos(),
+            millis(1_700).toNanos(),
+            Outcome.OK,
+            "",
+            "",
+            "");
+    assertEquals(List.of(), broken(ageVerdict(bounded, millis(1_200))));
+    assertEquals(List.of(Rule.FRESH), broken(ageVerdict(bounded, millis(1_600))));
+  }
+
+  /** The read was done at a server whose data were of 500 ms. */
+  private static SoakVerdict ageVerdict(ClientOperation operation, Duration arrivedAt) {
+    Read read = new Read(millis(1_650).toNanos(), "a1", 0, "s1", "c0", millis(500).toNanos(), 0);
+    History history =
+        new History(List.of(operation), List.of(), List.of(), List.of(read), List.of());
+    Arrival arrival = new Arrival(arrivedAt.toNanos(), "a1", "s1", 1);
+    return SoakVerdict.of(
+        new SoakObservations(history, List.of(arrival), List.of(), List.of(), List.of()));
+  }
+
   @Test
   void requestSentToAServerLongAfterItsDrainBeganIsFound() {
     List<SoakObservations.Drain> drains =
