A fake replica that begins to lag keeps what it has applied

No caller of the product is concerned.

Cause: FakePostgresServer.setLag moved a replica's position back by the new lag at once, as if it had lost what it had applied. A gateway that knew the position from before had every reason to send there.

Change: the position stands still until the replica is that far behind. FaultInjectorTest asserted the jump; it now waits, bounded, for the same 2.9 to 4 s and asserts that the position never goes back.

--- a/chaos/src/test/java/weldcross/chaos/FaultInjectorTest.java
+++ b/chaos/src/test/java/weldcross/chaos/FaultInjectorTest.java
@@ -261,8 +261,15 @@
                                     .anyMatch(e -> e.rpc().equals(a.rpc()))));
         injector.end(lost, LAG);
         Fault lag = fault(Fault.Kind.LAG, "s1", "", "3000");
+        final double positionBefore = position(cluster, "s1");
         injector.begin(lag);
-        double behind = System.currentTimeMillis() / 1000.0 - position(cluster, "s1");
+        double behind = 0;
+        for (long deadline = System.nanoTime() + 10_000_000_000L;
+            behind <= 2.9 && System.nanoTime() < deadline; ) {
+          double position = position(cluster, "s1");
+          assertTrue(position >= positionBefore, "a replica keeps what it has applied");
+          behind = System.currentTimeMillis() / 1000.0 - position;
+        }
         assertTrue(behind > 2.9 && behind < 4, behind + " s behind");
         Fault stall = fault(Fault.Kind.SERVER_STALL, "s2", "", "");
         injector.begin(stall);
--- a/fakes/src/main/java/weldcross/fakes/FakePostgresServer.java
+++ b/fakes/src/main/java/weldcross/fakes/FakePostgresServer.java
@@ -62,6 +62,10 @@
   private int busyWorkers;
   private final boolean primary;
   private volatile Duration lag;
+
+  /** What a replica has applied it has for good: its position never goes back behind this. */
+  private volatile long minPosition = Long.MIN_VALUE;
+
   private volatile Duration serviceTime;
   private volatile boolean stalled;
   private volatile boolean failing;
@@ -166,11 +170,13 @@
   }
 
   /**
-   * Sets how far a replica is behind the primary's history.
+   * Sets how far a replica is behind the primary's history. Where it is less behind, its position
+   * stands still until it is that far behind.
    *
    * @param newLag zero or more
    */
   public void setLag(Duration newLag) {
+    minPosition = visibleUntil();
     lag = newLag;
   }
 
@@ -428,7 +434,7 @@
   /** The time up to which commits are visible here, in nanoseconds of the run's clock. */
   private long visibleUntil() {
     long now = clock.nanos();
-    return primary ? now : now - lag.toNanos();
+    return primary ? now : Math.max(minPosition, now - lag.toNanos());
   }
 
   private long positionMillis() {
