--- a/chaos/src/main/java/weldcross/chaos/SoakResult.java
+++ b/chaos/src/main/java/weldcross/chaos/SoakResult.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import weldcross.chaos.history.HistoryChecker.Violation;
 import weldcross.chaos.load.ClientOperation;
 import weldcross.chaos.load.ClientOperation.Outcome;
@@ -34,49 +35,43 @@
    */
   public String describe() {
     List<String> lines = new ArrayList<>();
-    long killed = exits.stream().filter(ProcessExit::killed).count();
-    lines.add(
-        "seed "
-            + plan.seed()
-            + (plan.hasCrowd() ? " with a crowd" : "")
-            + ": "
-            + verdict.history().operations().size()
-            + " requests, "
-            + count(Outcome.OK)
-            + " served, "
-            + count(Outcome.REJECTED)
-            + " rejected, "
-            + count(Outcome.FAILED)
-            + " failed, "
-            + count(Outcome.NOT_SENT)
-            + " not sent ("
-            + verdict.crossings()
-            + " crossed a close), "
-            + (count(Outcome.TIMED_OUT) + count(Outcome.CONNECTION_CLOSED))
-            + " without an answer; "
-            + exits.size()
-            + " stops, "
-            + killed
-            + " killed; "
-            + verdict.violations().size()
-            + " violations");
+    lines.add(countsLine());
     exits.stream()
         .filter(ProcessExit::killed)
         .forEach(exit -> lines.add("had to be killed: " + exit.describe()));
     usageAtStart.forEach((gateway, usage) -> lines.add(usageLine(gateway, usage)));
-    for (Violation violation : verdict.violations()) {
-      lines.add(
-          violation.rule().description()
-              + ": "
-              + violation.rpc()
-              + " at "
-              + violation.at() / 1_000_000
-              + " ms, "
-              + violation.description());
-    }
+    verdict.violations().forEach(violation -> lines.add(violationLine(violation)));
     return String.join("\n", lines);
   }
 
+  private String countsLine() {
+    return String.format(
+        "seed %d%s: %d requests, %d served, %d rejected, %d failed, %d not sent"
+            + " (%d crossed a close), %d without an answer; %d stops, %d killed; %d violations",
+        plan.seed(),
+        plan.hasCrowd() ? " with a crowd" : "",
+        verdict.history().operations().size(),
+        count(Outcome.OK),
+        count(Outcome.REJECTED),
+        count(Outcome.FAILED),
+        count(Outcome.NOT_SENT),
+        verdict.crossings(),
+        count(Outcome.TIMED_OUT) + count(Outcome.CONNECTION_CLOSED),
+        exits.size(),
+        exits.stream().filter(ProcessExit::killed).count(),
+        verdict.violations().size());
+  }
+
+  private static String violationLine(Violation violation) {
+    return violation.rule().description()
+        + ": "
+        + violation.rpc()
+        + " at "
+        + TimeUnit.NANOSECONDS.toMillis(violation.at())
+        + " ms, "
+        + violation.description();
+  }
+
   private String usageLine(String gateway, ProcessUsage atStart) {
     ProcessUsage atEnd = usageAtEnd.get(gateway);
     String end = atEnd == null ? "ended" : atEnd.describe();
--- a/chaos/src/main/java/weldcross/chaos/load/PersistentClients.java
+++ b/chaos/src/main/java/weldcross/chaos/load/PersistentClients.java
@@ -121,6 +121,9 @@
     operations.add(operation);
   }
 
+  /** What became of one request, as {@link ClientOperation} has it. */
+  private record Result(Outcome outcome, String value, String detail) {}
+
   /** One client, which has one request open at a time and writes a key of its own. */
   private final class Client implements Runnable {
     private final String key;
@@ -197,35 +200,27 @@
 
     private void request() {
       RequestType type = drawType();
-      String id = nextId();
       boolean ofOthers = type == RequestType.BOUNDED_READ;
       String name = ofOthers ? writtenKeys.get(random.nextInt(writtenKeys.size())) : key;
+      String id = nextId();
+      String after = lastWrite;
       long sent = clock.getAsLong();
-      Outcome outcome;
-      String value = "";
-      String detail = "";
+      Result result;
       try {
         connection.send(RequestStatement.of(type, id, name, 0));
         sent = clock.getAsLong();
-        long deadline = sent + type.deadline().plus(LATE_LIMIT).toNanos();
-        GatewayConnection.Answer answer = connection.awaitAnswer(deadline, clock);
-        detail = answer.errorCode().orElse("");
-        outcome = answer.errorCode().isEmpty() ? Outcome.OK : Outcome.ofError(detail);
-        value = answer.value();
-        if (!answer.reusable()) {
-          disconnect();
-        }
+        result = awaitResult(sent + type.deadline().plus(LATE_LIMIT).toNanos());
       } catch (SocketTimeoutException e) {
-        outcome = Outcome.TIMED_OUT;
+        result = new Result(Outcome.TIMED_OUT, "", "");
         disconnect();
       } catch (IOException e) {
         // One that was never greeted was closed before anything of it was read.
-        outcome = connection.isGreeted() ? Outcome.CONNECTION_CLOSED : Outcome.NOT_SENT;
-        detail = e instanceof EOFException ? "ended" : String.valueOf(e.getMessage());
+        Outcome outcome = connection.isGreeted() ? Outcome.CONNECTION_CLOSED : Outcome.NOT_SENT;
+        boolean inOrder = e instanceof EOFException;
+        result = new Result(outcome, "", inOrder ? "ended" : String.valueOf(e.getMessage()));
         disconnect();
       }
-      String after = lastWrite;
-      if (outcome == Outcome.OK && type.isWrite()) {
+      if (result.outcome == Outcome.OK && type.isWrite()) {
         lastWrite = id;
       }
       record(
@@ -237,10 +232,20 @@
               "n" + gateway,
               sent,
               clock.getAsLong(),
-              outcome,
-              value,
-              detail,
+              result.outcome,
+              result.value,
+              result.detail,
               after));
     }
+
+    private Result awaitResult(long deadline) throws IOException {
+      GatewayConnection.Answer answer = connection.awaitAnswer(deadline, clock);
+      String errorCode = answer.errorCode().orElse("");
+      if (!answer.reusable()) {
+        disconnect();
+      }
+      Outcome outcome = answer.errorCode().isEmpty() ? Outcome.OK : Outcome.ofError(errorCode);
+      return new Result(outcome, answer.value(), errorCode);
+    }
   }
 }
--- a/gateway/src/main/java/weldcross/gateway/ClientConnections.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnections.java
@@ -70,7 +70,7 @@
   }
 
   /** Whether no connection is open or waits for its client to read. */
-  boolean allGone() {
+  boolean allClosed() {
     return open.isEmpty() && lingering.isEmpty();
   }
 
--- a/gateway/src/main/java/weldcross/gateway/GracefulShutdown.java
+++ b/gateway/src/main/java/weldcross/gateway/GracefulShutdown.java
@@ -89,7 +89,7 @@
     }
     boolean waitedLongEnough =
         answeredAt != null && gateway.now().minus(answeredAt).compareTo(GRACE_PERIOD) >= 0;
-    if ((clients.allGone() || waitedLongEnough) && extensions.isDone()) {
+    if ((clients.allClosed() || waitedLongEnough) && extensions.isDone()) {
       extensions.stop();
       LOG.info(() -> "stopped: " + attempts.describeTotals());
       gateway.enter(Gateway.Phase.STOPPED);
