A request that crosses a close in an orderly stop is counted as lost, not a violation

Seen: chaos runs with SIGTERM reported rule 1 broken, once in nine stops on record and, on a loaded machine, 41 times in 90 stops.

Cause: the checker. A gateway that stops ends sending on connections on which it owes nothing; what is on its way then arrives behind that end.

Evidence, in docs/incidents: of all 41 no server has a record, no gateway's log (FINE) names one, and each connection ended in order 0.05 to 68 ms after the send. The soak, which has no proxy, sees the same, so it is not the proxy.

Change: the check is narrowed to just that case, with a test that finds the four neighbouring ones; it failed to compile, as there was no such notion, before.

HistoryCheckerTest passed.

--- a/chaos/src/main/java/weldcross/chaos/ChaosRun.java
+++ b/chaos/src/main/java/weldcross/chaos/ChaosRun.java
@@ -170,7 +170,11 @@
     synchronized (lock) {
       faults.add(
           new History.FaultInterval(
-              from, UNHEALED, injector.excusedGateways(fault), fault.describe()));
+              from,
+              UNHEALED,
+              injector.excusedGateways(fault),
+              FaultInjector.closingGateways(fault),
+              fault.describe()));
     }
   }
 
@@ -205,7 +209,8 @@
               new History.FaultInterval(
                   interval.from(),
                   at + AFTERMATH.toNanos(),
-                  injector.excusedGateways(fault),
+                  interval.hosts(),
+                  interval.closing(),
                   interval.description()));
           return;
         }
--- a/chaos/src/main/java/weldcross/chaos/FaultInjector.java
+++ b/chaos/src/main/java/weldcross/chaos/FaultInjector.java
@@ -34,6 +34,11 @@
     };
   }
 
+  /** Returns the gateways that close their connections in order because of a fault. */
+  static List<String> closingGateways(Fault fault) {
+    return fault.kind() == Fault.Kind.TERM ? List.of(fault.on()) : List.of();
+  }
+
   private List<String> excusedByNetworkFault(Fault fault) {
     if (fault.on().equals(CLIENTS)) {
       return peersOf(fault).stream().filter(host -> host.startsWith("n")).toList();
--- a/chaos/src/main/java/weldcross/chaos/history/History.java
+++ b/chaos/src/main/java/weldcross/chaos/history/History.java
@@ -62,10 +62,38 @@
    * @param from when it began
    * @param until when it was healed and had been waited for
    * @param hosts gateways whose clients may get no answer because of it
+   * @param closing gateways that close their connections in order because of it
    * @param description what it was
    */
   public record FaultInterval(
-      long from, long until, List<String> hosts, @JsonProperty("what") String description) {
+      long from,
+      long until,
+      List<String> hosts,
+      List<String> closing,
+      @JsonProperty("what") String description) {
+
+    /** Takes what earlier versions stored, which had no closing gateways. */
+    public FaultInterval {
+      closing = closing == null ? List.of() : closing;
+    }
+
+    /**
+     * Creates the interval of a fault in which no gateway closes connections in order.
+     *
+     * @param from when it began
+     * @param until when it was healed and had been waited for
+     * @param hosts gateways whose clients may get no answer because of it
+     * @param description what it was
+     */
+    public FaultInterval(long from, long until, List<String> hosts, String description) {
+      this(from, until, hosts, List.of(), description);
+    }
+
+    boolean closes(ClientOperation operation) {
+      return closing.contains(operation.gateway())
+          && from <= operation.ended()
+          && until >= operation.sent();
+    }
 
     boolean excuses(ClientOperation operation) {
       return hosts.contains(operation.gateway())
--- a/chaos/src/main/java/weldcross/chaos/history/HistoryChecker.java
+++ b/chaos/src/main/java/weldcross/chaos/history/HistoryChecker.java
@@ -77,6 +77,9 @@
   /** After a fault calls may still be held, and servers ejected. */
   private static final long AFTERMATH_NANOS = Duration.ofSeconds(3).toNanos();
 
+  /** The way of a request and of the end of its connection, through the proxy of a busy machine. */
+  private static final long MAX_CROSSING_NANOS = Duration.ofMillis(100).toNanos();
+
   private final History history;
   private final Map<String, List<ReplicatedStoreModel.Commit>> commitsByRequest = new HashMap<>();
   private final Map<String, Long> sequencesByValue = new HashMap<>();
@@ -126,7 +129,7 @@
     boolean unanswered =
         operation.outcome() == Outcome.TIMED_OUT
             || operation.outcome() == Outcome.CONNECTION_CLOSED;
-    if (unanswered && history.excuseFor(operation).isEmpty()) {
+    if (unanswered && history.excuseFor(operation).isEmpty() && !crossedClose(operation)) {
       report(Rule.ONE_ANSWER, operation, "no answer, and no fault of its gateway explains it");
     }
     if (operation.outcome() == Outcome.OK
@@ -136,6 +139,19 @@
     }
   }
 
+  /**
+   * Whether a request crossed the end of its connection in an orderly stop: the connection ended in
+   * order soon after the send, and no server has seen the request.
+   */
+  private boolean crossedClose(ClientOperation operation) {
+    return operation.outcome() == Outcome.CONNECTION_CLOSED
+        && operation.detail().equals(ClientOperation.ENDED_IN_ORDER)
+        && operation.durationNanos() <= MAX_CROSSING_NANOS
+        && !commitsByRequest.containsKey(operation.rpc())
+        && !readsByRequest.containsKey(operation.rpc())
+        && history.faults().stream().anyMatch(fault -> fault.closes(operation));
+  }
+
   private void checkCommits(ClientOperation operation) {
     List<ReplicatedStoreModel.Commit> commits =
         commitsByRequest.getOrDefault(operation.rpc(), List.of());
--- a/chaos/src/main/java/weldcross/chaos/load/ClientOperation.java
+++ b/chaos/src/main/java/weldcross/chaos/load/ClientOperation.java
@@ -36,6 +36,9 @@
   /** An answer is waited for beyond the request's deadline by this much, as the platform does. */
   public static final Duration DEADLINE_SLACK = Duration.ofMillis(50);
 
+  /** The detail of a request whose connection was ended in order, and not reset. */
+  public static final String ENDED_IN_ORDER = "ended";
+
   private static final String TOO_MANY_CONNECTIONS = "53300";
   private static final String CANNOT_CONNECT_NOW = "57P03";
 
--- a/chaos/src/main/java/weldcross/chaos/load/LoadGenerator.java
+++ b/chaos/src/main/java/weldcross/chaos/load/LoadGenerator.java
@@ -287,7 +287,10 @@
         // nobody.
         boolean reached = connection != null && connection.isGreeted();
         outcome = reached ? Outcome.CONNECTION_CLOSED : Outcome.NOT_SENT;
-        detail = e instanceof EOFException ? "ended" : String.valueOf(e.getMessage());
+        detail =
+            e instanceof EOFException
+                ? ClientOperation.ENDED_IN_ORDER
+                : String.valueOf(e.getMessage());
       }
       ended = clock.getAsLong();
       if (outcome == Outcome.NOT_SENT) {
--- a/chaos/src/main/java/weldcross/chaos/load/PersistentClients.java
+++ b/chaos/src/main/java/weldcross/chaos/load/PersistentClients.java
@@ -217,7 +217,11 @@
         // One that was never greeted was closed before anything of it was read.
         Outcome outcome = connection.isGreeted() ? Outcome.CONNECTION_CLOSED : Outcome.NOT_SENT;
         boolean inOrder = e instanceof EOFException;
-        result = new Result(outcome, "", inOrder ? "ended" : String.valueOf(e.getMessage()));
+        result =
+            new Result(
+                outcome,
+                "",
+                inOrder ? ClientOperation.ENDED_IN_ORDER : String.valueOf(e.getMessage()));
         disconnect();
       }
       if (result.outcome == Outcome.OK && type.isWrite()) {
--- a/chaos/src/main/java/weldcross/chaos/soak/SoakVerdict.java
+++ b/chaos/src/main/java/weldcross/chaos/soak/SoakVerdict.java
@@ -76,6 +76,7 @@
   /** Whether a request may have come after its gateway had ended sending on its connection. */
   private static boolean crossed(SoakObservations observations, ClientOperation operation) {
     return operation.outcome() == Outcome.CONNECTION_CLOSED
+        && operation.detail().equals(ClientOperation.ENDED_IN_ORDER)
         && operation.durationNanos() <= MAX_CROSSING.toNanos()
         && observations.closes().stream()
             .anyMatch(window -> window.covers(operation.gateway(), operation.ended()));
--- a/chaos/src/test/java/weldcross/chaos/HistoryCheckerTest.java
+++ b/chaos/src/test/java/weldcross/chaos/HistoryCheckerTest.java
@@ -156,4 +156,36 @@
         List.of(Rule.NO_VIEW_BACK), views(0L, held("n0", 1, 5, "n0:1"), held("n0", 1, 4, "n1:1")));
     assertEquals(List.of(Rule.AGREES), views(-1L));
   }
+
+  private void closedOperation(String rpc, long sent, long millis, String detail) {
+    operations.add(
+        new ClientOperation(
+            rpc,
+            "k",
+            RequestType.SESSION_READ,
+            0,
+            "n1",
+            sent * MS,
+            (sent + millis) * MS,
+            Outcome.CONNECTION_CLOSED,
+            "",
+            detail,
+            ""));
+  }
+
+  /** In an orderly stop of n1, from 1 s to 2 s. */
+  @Test
+  void onlyARequestThatCrossesTheCloseOfItsConnectionMayStayUnanswered() {
+    faults.add(
+        new History.FaultInterval(1000 * MS, 2000 * MS, List.of(), List.of("n1"), "term n1"));
+    closedOperation("x1", 1500, 60, "ended");
+    assertEquals(List.of(), brokenRules());
+    closedOperation("x2", 1500, 110, "ended");
+    closedOperation("x3", 1500, 10, "Connection reset");
+    closedOperation("x4", 2500, 10, "ended");
+    closedOperation("x5", 1500, 10, "ended");
+    read("x5", 1505, 1505, 0);
+    assertEquals(
+        List.of(Rule.ONE_ANSWER, Rule.ONE_ANSWER, Rule.ONE_ANSWER, Rule.ONE_ANSWER), brokenRules());
+  }
 }
