Limit the memory that clients' messages hold, and refuse what goes beyond it

Cause: what is held for clients had limits by connection and by request, none by bytes. Class histograms before the end: 414 statements of 131 KB and the begun messages of 300 clients fill the heap, 1.4 requests a client, so that no limit on a connection's requests would do.

Change: memory is accounted from a message's header to its request's end; clients share a quarter of the heap by dynamic thresholds, with a reserve each; a query beyond that is skipped and refused (53300) in its turn. Found with it: attempts' timers held messages after their answers, short statements held the whole read buffer, headers of unsupported messages made room for their bodies.

--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -187,6 +187,7 @@
   void removeIfDone(RoutedRequest request) {
     if (request.answered && request.openAttempts == 0) {
       requests.remove(request.id);
+      request.release();
     }
   }
 
@@ -210,7 +211,7 @@
     @Override
     ByteBuffer[] message() {
       long timeLeftMillis = deadline.minus(transport.now()).toMillis();
-      return request.statement.withTimeout(Math.max(1, timeLeftMillis));
+      return request.statement().withTimeout(Math.max(1, timeLeftMillis));
     }
 
     /**
@@ -229,7 +230,7 @@
 
     @Override
     String commandTag() {
-      return request.statement.commandTag();
+      return request.statement().commandTag();
     }
 
     @Override
@@ -283,7 +284,7 @@
       }
       Duration position = Duration.ofMillis(response.positionMillis());
       return reports.positionSinceStart(
-          request.statement.isWrite() ? position.plus(COMMIT_TIME_RESOLUTION) : position);
+          request.statement().isWrite() ? position.plus(COMMIT_TIME_RESOLUTION) : position);
     }
   }
 }
--- a/gateway/src/main/java/weldcross/gateway/ClientConnection.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.function.Consumer;
 
 /**
  * The state of one client connection. Its requests run concurrently, and its responses are written
@@ -17,7 +16,7 @@
   final int secretKey;
 
   /** Requests that are received but not started, in the order received. */
-  final ArrayDeque<Consumer<PipelinedRequest>> waiting = new ArrayDeque<>(2);
+  final ArrayDeque<WaitingMessages> waiting = new ArrayDeque<>(2);
 
   /** Requests that are started and whose responses are not yet written, in the order received. */
   final ArrayDeque<PipelinedRequest> inFlight = new ArrayDeque<>(2);
--- a/gateway/src/main/java/weldcross/gateway/ClientConnections.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnections.java
@@ -252,7 +252,12 @@
         parts.add(AttemptTracker.failedResponse());
       }
     }
-    client.waiting.forEach(request -> parts.add(MessageEncoder.error("53300", "not begun", null)));
+    ByteBuffer refusal = MessageEncoder.error("53300", "not begun", null);
+    for (WaitingMessages messages : client.waiting) {
+      for (int index = 0; index < messages.count(); index++) {
+        parts.add(refusal.duplicate());
+      }
+    }
     parts.add(MessageEncoder.fatal(sqlState, text));
     transport.write(client.id, parts.toArray(new ByteBuffer[0]));
     closeAfterWrite(client);
--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -28,6 +28,7 @@
   private final long connectionId;
   private final ReadBatch batch;
   private final GatheringIoProcessor processor;
+  private final ClientMemory.Account memory;
   private final ClientMessageDecoder decoder;
   private final ArrayDeque<ByteBuffer> buffered = new ArrayDeque<>();
   private int bufferedBytes;
@@ -41,18 +42,25 @@
    *
    * @param connectionId the connection's positive id
    * @param clock the time since the gateway's start
+   * @param memory accounts for the client's messages
    */
   ClientStream(
       long connectionId,
       ReadBatch batch,
       GatheringIoProcessor processor,
-      Supplier<Duration> clock) {
+      Supplier<Duration> clock,
+      ClientMemory.Account memory) {
     this.connectionId = connectionId;
     this.batch = batch;
     this.processor = processor;
+    this.memory = memory;
     this.decoder =
         MessageDecoders.forClient(
-            event -> batch.addForClient(connectionId, event), batch::add, clock, connectionId);
+            event -> batch.addForClient(connectionId, event),
+            batch::add,
+            clock,
+            connectionId,
+            memory);
   }
 
   @Override
@@ -158,6 +166,7 @@
 
   @Override
   void closed() {
+    memory.close();
     batch.clientDisconnected(connectionId);
   }
 }
--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -325,6 +325,7 @@
         + serverConnections.describe()
         + "; "
         + router.describe(now)
+        + (transport.describe().isEmpty() ? "" : "; " + transport.describe())
         + (extensions.isEmpty() ? "" : "; " + extensions.describe());
   }
 
--- a/gateway/src/main/java/weldcross/gateway/MessageDecoders.java
+++ b/gateway/src/main/java/weldcross/gateway/MessageDecoders.java
@@ -26,7 +26,25 @@
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number) {
-    return new ClientMessageDecoder(new ClientEvents(post, postAlways, clock, number));
+    return forClient(post, postAlways, clock, number, ClientMemory.unlimitedAccount());
+  }
+
+  /**
+   * Returns a decoder for what a client sends that refuses messages for which there is no memory.
+   *
+   * @param post receives events that may be discarded if this client disconnects
+   * @param postAlways receives events that must be handled even if this client disconnects
+   * @param clock the time since the gateway's start
+   * @param number identifies the client's connection
+   * @param memory accounts for the client's messages
+   */
+  static ClientMessageDecoder forClient(
+      Consumer<Gateway.Event> post,
+      Consumer<Gateway.Event> postAlways,
+      Supplier<Duration> clock,
+      long number,
+      ClientMemory.Account memory) {
+    return new ClientMessageDecoder(new ClientEvents(post, postAlways, clock, number, memory));
   }
 
   /**
@@ -44,7 +62,8 @@
       Consumer<Gateway.Event> post,
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
-      long number)
+      long number,
+      ClientMemory.Account memory)
       implements ClientMessageDecoder.Sink {
 
     @Override
@@ -60,17 +79,39 @@
     @Override
     public void statementReceived(Statement statement) {
       Duration receivedAt = clock.get();
-      post.accept(gateway -> gateway.pipeline().statementReceived(number, statement, receivedAt));
+      ClientMemory.RequestMemory held = memory.messageReceived();
+      post.accept(
+          gateway -> gateway.pipeline().statementReceived(number, statement, receivedAt, held));
     }
 
     @Override
     public void emptyQueryReceived() {
-      post.accept(gateway -> gateway.pipeline().emptyQueryReceived(number));
+      ClientMemory.RequestMemory held = memory.messageReceived();
+      post.accept(
+          gateway -> {
+            held.release();
+            gateway.pipeline().emptyQueryReceived(number);
+          });
     }
 
     @Override
     public void statementRejected(String sqlState, String message) {
-      post.accept(gateway -> gateway.pipeline().statementRejected(number, sqlState, message));
+      ClientMemory.RequestMemory held = memory.messageReceived();
+      post.accept(
+          gateway -> {
+            held.release();
+            gateway.pipeline().statementRejected(number, sqlState, message);
+          });
+    }
+
+    @Override
+    public boolean admitQuery(int size) {
+      return memory.admit(size);
+    }
+
+    @Override
+    public void queryDiscarded() {
+      post.accept(gateway -> gateway.pipeline().queriesDiscarded(number, 1));
     }
 
     @Override
--- a/gateway/src/main/java/weldcross/gateway/MinaTransport.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaTransport.java
@@ -15,6 +15,7 @@
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import weldcross.connections.CancellableConnector;
+import weldcross.connections.ClientMemoryPolicy;
 
 /**
  * The transport based on Apache MINA. MINA's threads only decode received bytes and post the
@@ -26,6 +27,9 @@
   private static final int MIN_READ_BUFFER_BYTES = 512;
   private static final int READ_BUFFER_BYTES = 1024;
 
+  /** Also what one client may send before another one is read. */
+  private static final int MAX_CLIENT_READ_BUFFER_BYTES = 16_384;
+
   /**
    * Number of connections of the warm-up. Both ends are in this process, so 160 reads make 320
    * calls; the JVM compiles a method after 200.
@@ -37,6 +41,7 @@
   private final EventLoop loop;
   private final Supplier<Duration> clock;
   private final ReadBatch readBatch;
+  private final ClientMemory clientMemory;
   private final ConcurrentHashMap<Long, IoSession> sessions = new ConcurrentHashMap<>();
   private final StreamHandler handler = new StreamHandler(sessions);
 
@@ -52,15 +57,33 @@
   private GossipSocket gossip;
 
   /**
-   * Creates a transport without connections.
+   * Creates a transport without connections, whose clients may hold a share of the heap.
    *
    * @param loop receives the events
    * @param clock time since the start of the process
    * @param maxConnections limit for open and pending connections together
    */
   MinaTransport(EventLoop loop, Supplier<Duration> clock, int maxConnections) {
+    this(
+        loop,
+        clock,
+        maxConnections,
+        new ClientMemory(ClientMemoryPolicy.ofHeap(Runtime.getRuntime().maxMemory())));
+  }
+
+  /**
+   * Creates a transport without connections.
+   *
+   * @param loop receives the events
+   * @param clock time since the start of the process
+   * @param maxConnections limit for open and pending connections together
+   * @param clientMemory accounts for the messages of all clients
+   */
+  MinaTransport(
+      EventLoop loop, Supplier<Duration> clock, int maxConnections, ClientMemory clientMemory) {
     this.loop = loop;
     this.clock = clock;
+    this.clientMemory = clientMemory;
     ExecutorService executor = createExecutor(loop);
     readBatch = new ReadBatch(loop::post);
     processor = new GatheringIoProcessor(executor, readBatch::postAll);
@@ -75,6 +98,7 @@
             () -> minaConnector.getManagedSessionCount() + connector.pendingCount());
     configure(acceptor.getSessionConfig());
     configure(minaConnector.getSessionConfig());
+    acceptor.getSessionConfig().setMaxReadBufferSize(MAX_CLIENT_READ_BUFFER_BYTES);
     acceptor.setReuseAddress(true);
     acceptor.setBacklog(BACKLOG);
     acceptor.setHandler(clientHandler());
@@ -112,7 +136,8 @@
       @Override
       public void sessionCreated(IoSession session) {
         long number = session.getId();
-        attach(session, number, new ClientStream(number, readBatch, processor, clock));
+        ClientMemory.Account memory = clientMemory.openAccount();
+        attach(session, number, new ClientStream(number, readBatch, processor, clock, memory));
       }
 
       @Override
@@ -142,6 +167,11 @@
     return clock.get();
   }
 
+  @Override
+  public String describe() {
+    return clientMemory.describe();
+  }
+
   // ---- Listening and connecting
 
   @Override
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -33,6 +33,14 @@
   /** Minimum time since a write, as zero means that there was none. */
   private static final Duration MIN_TIME_SINCE_WRITE = Duration.ofNanos(1);
 
+  /** Reason of a refusal for lack of memory. */
+  private static final String OUT_OF_MEMORY = "too much is held for clients";
+
+  /** Refusals of queries that followed one another are written together, up to this number. */
+  private static final int REFUSALS_PER_WRITE = 256;
+
+  private static final ByteBuffer REFUSALS = createRefusals();
+
   private static final Logger LOG = Logger.getLogger(RequestPipeline.class.getName());
 
   private final Gateway gateway;
@@ -99,10 +107,52 @@
    * Handles a statement.
    *
    * @param receivedAt when its last byte was read; its timeout counts from then
+   * @param memory what the statement occupies, given back when its request has ended
    */
-  void statementReceived(long connectionId, Statement statement, Duration receivedAt) {
+  void statementReceived(
+      long connectionId,
+      Statement statement,
+      Duration receivedAt,
+      ClientMemory.RequestMemory memory) {
     countStatement(connectionId);
-    enqueue(connectionId, request -> startStatement(request, statement, receivedAt));
+    enqueue(connectionId, request -> startStatement(request, statement, receivedAt, memory));
+  }
+
+  /**
+   * Handles queries that followed one another and were not held, for lack of memory: each is
+   * refused.
+   *
+   * @param count the number of queries, positive
+   */
+  void queriesDiscarded(long connectionId, int count) {
+    ClientConnection client = clients.find(connectionId);
+    if (client == null) {
+      return;
+    }
+    gateway.warn("requests refused: reason=" + OUT_OF_MEMORY);
+    client.statements += count;
+    for (int left = count; left > 0; left -= Math.min(left, REFUSALS_PER_WRITE)) {
+      int refusals = Math.min(left, REFUSALS_PER_WRITE);
+      client.messages += refusals;
+      client.waiting.add(
+          new WaitingMessages(refusals, request -> respond(request, refusals(refusals))));
+    }
+    startOrPause(client);
+  }
+
+  private static ByteBuffer refusals(int count) {
+    int size = REFUSALS.remaining() / REFUSALS_PER_WRITE;
+    return REFUSALS.duplicate().limit(count * size);
+  }
+
+  /** Returns one response after the other that refuses a request, as many as one write takes. */
+  private static ByteBuffer createRefusals() {
+    ByteBuffer refusal = MessageEncoder.error("53300", OUT_OF_MEMORY, null);
+    ByteBuffer all = ByteBuffer.allocate(refusal.remaining() * REFUSALS_PER_WRITE);
+    while (all.hasRemaining()) {
+      all.put(refusal.duplicate());
+    }
+    return all.flip();
   }
 
   private void countStatement(long connectionId) {
@@ -124,11 +174,17 @@
       return;
     }
     client.messages++;
-    client.waiting.add(client.waiting.size() < MAX_WAITING ? start : this::rejectAsTooMany);
+    client.waiting.add(
+        new WaitingMessages(
+            1, client.waiting.size() < MAX_WAITING ? start : this::rejectAsTooMany));
+    startOrPause(client);
+  }
+
+  private void startOrPause(ClientConnection client) {
     startNext(client);
     if (!client.waiting.isEmpty() && !client.readPaused && !client.closed) {
       client.readPaused = true;
-      transport.setReading(connectionId, false);
+      transport.setReading(client.id, false);
     }
   }
 
@@ -141,7 +197,7 @@
     while (client.inFlight.size() < MAX_IN_FLIGHT && !client.closed && !client.waiting.isEmpty()) {
       PipelinedRequest request = new PipelinedRequest(client);
       client.inFlight.add(request);
-      client.waiting.poll().accept(request);
+      client.waiting.poll().start().accept(request);
     }
     writeResponses(client);
     if (client.readPaused && client.waiting.isEmpty() && !client.closed) {
@@ -198,9 +254,14 @@
 
   // ---- Start of statements
 
-  private void startStatement(PipelinedRequest request, Statement statement, Duration receivedAt) {
+  private void startStatement(
+      PipelinedRequest request,
+      Statement statement,
+      Duration receivedAt,
+      ClientMemory.RequestMemory memory) {
     if (gateway.shutdown().isClosing(receivedAt)) {
       // A request started after the grace period might be unanswered when the process is killed.
+      memory.release();
       respond(request, MessageEncoder.error("57P03", "stopping", null));
       return;
     }
@@ -209,6 +270,7 @@
     GroupId group = new GroupId(statement.group());
     RequestValidator.Result result = validator.check(statement, requestClass, id, group);
     if (result != RequestValidator.Result.VALID) {
+      memory.release();
       if (result != RequestValidator.Result.NOT_READY) {
         logRejected(result.text);
       }
@@ -216,7 +278,8 @@
       return;
     }
     Duration timeLeft = timeLeft(statement, receivedAt);
-    RoutedRequest routed = new RoutedRequest(id, request, statement, gateway.now().plus(timeLeft));
+    Duration deadline = gateway.now().plus(timeLeft);
+    RoutedRequest routed = new RoutedRequest(id, request, statement, memory, deadline);
     route(routed, requestClass, group, timeLeft);
   }
 
@@ -227,7 +290,7 @@
   }
 
   private void route(RoutedRequest request, int requestClass, GroupId group, Duration timeLeft) {
-    Statement statement = request.statement;
+    Statement statement = request.statement();
     attempts.add(request);
     LOG.fine(
         () ->
--- a/gateway/src/main/java/weldcross/gateway/RoutedRequest.java
+++ b/gateway/src/main/java/weldcross/gateway/RoutedRequest.java
@@ -11,7 +11,11 @@
 
   final RequestId id;
   final PipelinedRequest pipelined;
-  final Statement statement;
+
+  /** Null once released. */
+  private Statement statement;
+
+  private final ClientMemory.RequestMemory memory;
 
   /** When its client stops waiting, as time since the gateway's start. */
   final Duration deadline;
@@ -25,11 +29,33 @@
   /** Whether the response is available or the client has disconnected. */
   boolean answered;
 
-  RoutedRequest(RequestId id, PipelinedRequest pipelined, Statement statement, Duration deadline) {
+  RoutedRequest(
+      RequestId id,
+      PipelinedRequest pipelined,
+      Statement statement,
+      ClientMemory.RequestMemory memory,
+      Duration deadline) {
     this.id = id;
     this.pipelined = pipelined;
     pipelined.routed = this;
     this.statement = statement;
+    this.memory = memory;
     this.deadline = deadline;
+    memory.start();
+  }
+
+  /** Returns the statement; must not be called after {@link #release}. */
+  Statement statement() {
+    return statement;
+  }
+
+  /**
+   * Drops the statement, with its message, and gives its memory back. Called when the request is
+   * answered and no attempt is open; timers and responses that wait may refer to this object for
+   * longer.
+   */
+  void release() {
+    statement = null;
+    memory.release();
   }
 }
--- a/gateway/src/main/java/weldcross/gateway/Transport.java
+++ b/gateway/src/main/java/weldcross/gateway/Transport.java
@@ -17,6 +17,11 @@
    */
   Duration now();
 
+  /** Describes the state for the log; empty if there is nothing to tell. */
+  default String describe() {
+    return "";
+  }
+
   /**
    * Starts to accept clients.
    *
--- a/gateway/src/main/java/weldcross/pgwire/ClientMessageDecoder.java
+++ b/gateway/src/main/java/weldcross/pgwire/ClientMessageDecoder.java
@@ -23,6 +23,19 @@
     /** The client sent a query without a statement. */
     void emptyQueryReceived();
 
+    /**
+     * Returns whether a query of the client is to be held in memory; called when its header has
+     * arrived. Others are discarded as they arrive.
+     *
+     * @param size size of the message in bytes
+     */
+    default boolean admitQuery(int size) {
+      return true;
+    }
+
+    /** The client sent a query that was not admitted; the connection stays open. */
+    default void queryDiscarded() {}
+
     /**
      * The client sent an unsupported query; the connection stays open.
      *
@@ -66,7 +79,11 @@
   private static final int SECRET_KEY_OFFSET = 12;
   private static final int CANCEL_REQUEST_LENGTH = 16;
 
+  /** A query is copied if the buffer in which it was read is larger than it by more than this. */
+  private static final int MAX_UNUSED_BYTES = 1_024;
+
   private final FrameDecoder frames = new FrameDecoder(true);
+  private final FrameDecoder.Sink frameSink = new FrameSink();
   private final Sink sink;
   private boolean ended;
   private boolean messageStarted;
@@ -81,7 +98,7 @@
   public void feed(ByteBuffer in) {
     try {
       if (!ended) {
-        frames.feed(in, this::decode);
+        frames.feed(in, frameSink);
       }
       if (!ended && !messageStarted && frames.isInMessage()) {
         messageStarted = true;
@@ -106,25 +123,54 @@
     return !ended && frames.isInMessage();
   }
 
-  private void decode(byte type, ByteBuffer message) throws ProtocolException {
-    messageStarted = false;
-    if (ended) {
-      return;
+  /** Receives the messages of the stream. */
+  private final class FrameSink implements FrameDecoder.Sink {
+
+    @Override
+    public void header(byte type, int length) throws ProtocolException {
+      switch (type) {
+        case FrameDecoder.UNTYPED, 'Q', 'X' -> {}
+        case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f' ->
+            throw new ProtocolException(
+                SqlState.FEATURE_NOT_SUPPORTED, "only simple queries are served");
+        default ->
+            throw new ProtocolException(
+                SqlState.PROTOCOL_VIOLATION, "message of unknown type " + type);
+      }
     }
-    messageCount++;
-    switch (type) {
-      case FrameDecoder.UNTYPED -> decodeUntypedMessage(message);
-      case 'Q' -> decodeQuery(message);
-      case 'X' -> terminate();
-      case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f' ->
-          throw new ProtocolException(
-              SqlState.FEATURE_NOT_SUPPORTED, "only simple queries are served");
-      default ->
-          throw new ProtocolException(
-              SqlState.PROTOCOL_VIOLATION, "message of unknown type " + type);
+
+    @Override
+    public boolean admit(byte type, int size) {
+      return type != 'Q' || ended || sink.admitQuery(size);
+    }
+
+    @Override
+    public void message(byte type, ByteBuffer message) throws ProtocolException {
+      if (!countMessage()) {
+        return;
+      }
+      switch (type) {
+        case FrameDecoder.UNTYPED -> decodeUntypedMessage(message);
+        case 'Q' -> decodeQuery(message);
+        default -> terminate();
+      }
+    }
+
+    @Override
+    public void discarded(byte type) {
+      if (countMessage()) {
+        sink.queryDiscarded();
+      }
     }
   }
 
+  /** Counts a complete message; returns false if it is to be ignored, as the stream has ended. */
+  private boolean countMessage() {
+    messageStarted = false;
+    messageCount += ended ? 0 : 1;
+    return !ended;
+  }
+
   private void decodeUntypedMessage(ByteBuffer message) throws ProtocolException {
     switch (message.getInt(REQUEST_CODE_OFFSET)) {
       case FrameDecoder.VERSION_3 -> sink.startupReceived();
@@ -151,12 +197,25 @@
       return;
     }
     try {
-      sink.statementReceived(Statement.parse(message));
+      sink.statementReceived(Statement.parse(withoutUnusedBytes(message)));
     } catch (ProtocolException e) {
       sink.statementRejected(e.sqlState(), e.getMessage());
     }
   }
 
+  /** Returns a message in a buffer of which it is the greater part, as the buffer is kept. */
+  private static ByteBuffer withoutUnusedBytes(ByteBuffer message) {
+    if (!message.hasArray()) {
+      return message;
+    }
+    int before = message.arrayOffset();
+    int after = message.array().length - before - message.limit();
+    if (before + after <= MAX_UNUSED_BYTES) {
+      return message;
+    }
+    return ByteBuffer.allocate(message.limit()).put(message.duplicate()).flip();
+  }
+
   private void terminate() {
     ended = true;
     sink.terminated();
--- a/gateway/src/main/java/weldcross/pgwire/FrameDecoder.java
+++ b/gateway/src/main/java/weldcross/pgwire/FrameDecoder.java
@@ -49,6 +49,25 @@
      */
     default void header(byte type, int length) throws ProtocolException {}
 
+    /**
+     * Returns whether a message is to be held and delivered; called once per message, after {@link
+     * #header}. The bytes of other messages are discarded as they arrive.
+     *
+     * @param type the type byte, or {@link #UNTYPED}
+     * @param size size of the message in bytes, including its header
+     */
+    default boolean admit(byte type, int size) {
+      return true;
+    }
+
+    /**
+     * Receives the end of a message that was not admitted.
+     *
+     * @param type the type byte, or {@link #UNTYPED}
+     * @throws ProtocolException if the message is not allowed
+     */
+    default void discarded(byte type) throws ProtocolException {}
+
     /**
      * Receives the part of a fragmented message that has arrived.
      *
@@ -66,6 +85,12 @@
   /** The fragmented message that is being assembled; null if there is none. */
   private ByteBuffer partial;
 
+  /** Type of the message that is being discarded. */
+  private byte discardedType;
+
+  /** Number of bytes of the message being discarded that have not arrived; 0 if there is none. */
+  private int remainingDiscard;
+
   /**
    * Creates a decoder for one stream.
    *
@@ -88,7 +113,9 @@
    */
   public void feed(ByteBuffer in, Sink sink) throws ProtocolException {
     while (in.hasRemaining()) {
-      if (!deliverInPlace(in, sink)) {
+      if (remainingDiscard > 0) {
+        discard(in, sink);
+      } else if (!deliverInPlace(in, sink)) {
         accumulate(in, sink);
       }
     }
@@ -96,7 +123,7 @@
 
   /** Returns whether a part of a message was received, but not all of it. */
   public boolean isInMessage() {
-    return partial != null || header.position() > 0;
+    return partial != null || header.position() > 0 || remainingDiscard > 0;
   }
 
   /** Delivers the next message without a copy; returns false if it is not complete. */
@@ -108,9 +135,15 @@
     if (in.remaining() < size) {
       return false;
     }
-    ByteBuffer message = in.slice(in.position(), size);
-    in.position(in.position() + size);
-    deliver(message, sink);
+    byte type = typeAt(in, in.position());
+    if (sink.admit(type, size)) {
+      ByteBuffer message = in.slice(in.position(), size);
+      in.position(in.position() + size);
+      deliver(message, sink);
+    } else {
+      startDiscard(type, size);
+      discard(in, sink);
+    }
     return true;
   }
 
@@ -121,9 +154,11 @@
       if (header.position() < headerSize()) {
         return;
       }
-      partial = ByteBuffer.allocate(messageSize(header, 0, sink));
-      partial.put(header.flip());
-      header.clear();
+      startFragmented(sink);
+      if (partial == null) {
+        discard(in, sink);
+        return;
+      }
     }
     copy(in, partial, partial.remaining());
     if (partial.hasRemaining()) {
@@ -135,13 +170,45 @@
     }
   }
 
+  /** Starts to assemble the message whose header is complete, or to discard it. */
+  private void startFragmented(Sink sink) throws ProtocolException {
+    int size = messageSize(header, 0, sink);
+    byte type = typeAt(header, 0);
+    if (sink.admit(type, size)) {
+      partial = ByteBuffer.allocate(size);
+      partial.put(header.flip());
+    } else {
+      startDiscard(type, size - header.position());
+    }
+    header.clear();
+  }
+
+  private void startDiscard(byte type, int size) {
+    discardedType = type;
+    remainingDiscard = size;
+  }
+
+  /** Discards the next bytes of the message that was not admitted. */
+  private void discard(ByteBuffer in, Sink sink) throws ProtocolException {
+    int count = Math.min(remainingDiscard, in.remaining());
+    in.position(in.position() + count);
+    remainingDiscard -= count;
+    if (remainingDiscard == 0) {
+      sink.discarded(discardedType);
+    }
+  }
+
   private void deliver(ByteBuffer message, Sink sink) throws ProtocolException {
-    byte type = untyped ? UNTYPED : message.get(0);
+    byte type = typeAt(message, 0);
     // A request for encryption is refused, and another untyped message follows.
     untyped = untyped && message.getInt(LENGTH_SIZE) != VERSION_3;
     sink.message(type, message);
   }
 
+  private byte typeAt(ByteBuffer buffer, int offset) {
+    return untyped ? UNTYPED : buffer.get(offset);
+  }
+
   private int headerSize() {
     return untyped ? LENGTH_SIZE : TYPED_HEADER_SIZE;
   }
@@ -154,7 +221,7 @@
     if (length < min || length > max) {
       throw new ProtocolException(SqlState.PROTOCOL_VIOLATION, "message of length " + length);
     }
-    sink.header(untyped ? UNTYPED : buffer.get(offset), length);
+    sink.header(typeAt(buffer, offset), length);
     return length + headerSize() - LENGTH_SIZE;
   }
 
--- /dev/null
+++ b/gateway/src/test/java/weldcross/gateway/ClientMemoryTest.java
@@ -0,0 +1,71 @@
+package weldcross.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import weldcross.connections.ClientMemoryPolicy;
+
+/** What is accounted for a client's messages, and when it is given back. */
+class ClientMemoryTest {
+
+  private static final int MESSAGE = 10_000;
+  private static final long HELD = MESSAGE + ClientMemory.REQUEST_OVERHEAD_BYTES;
+
+  private final ClientMemory memory = new ClientMemory(new ClientMemoryPolicy(1 << 20));
+  private final ClientMemory.Account account = memory.openAccount();
+
+  private ClientMemory.RequestMemory receive() {
+    assertTrue(account.admit(MESSAGE));
+    return account.messageReceived();
+  }
+
+  @Test
+  void memoryIsHeldFromTheHeaderToTheEndOfTheRequest() {
+    assertTrue(account.admit(MESSAGE));
+    assertEquals(HELD, memory.heldBytes());
+    ClientMemory.RequestMemory request = account.messageReceived();
+    request.start();
+    assertEquals(HELD, memory.heldBytes());
+    request.release();
+    request.release();
+    assertEquals(0, memory.heldBytes());
+  }
+
+  /** A message that waits is dropped with its connection; one whose request started is not yet. */
+  @Test
+  void closeGivesBackWhatNoStartedRequestNeeds() {
+    ClientMemory.RequestMemory started = receive();
+    started.start();
+    final ClientMemory.RequestMemory waiting = receive();
+    assertTrue(account.admit(MESSAGE));
+    account.close();
+    assertEquals(HELD, memory.heldBytes());
+    waiting.release();
+    started.release();
+    assertEquals(0, memory.heldBytes());
+  }
+
+  /** The event loop may handle a message before it learns that the connection has closed. */
+  @Test
+  void requestThatStartsAfterTheCloseIsHeldUntilItEnds() {
+    ClientMemory.RequestMemory request = receive();
+    account.close();
+    request.start();
+    assertEquals(HELD, memory.heldBytes());
+    request.release();
+    assertEquals(0, memory.heldBytes());
+  }
+
+  @Test
+  void refusedMessageIsNotHeld() {
+    while (account.admit(MESSAGE)) {
+      account.messageReceived();
+    }
+    long held = memory.heldBytes();
+    assertFalse(account.admit(MESSAGE));
+    assertEquals(held, memory.heldBytes());
+    assertTrue(memory.describe().endsWith(" 2 messages refused"), memory.describe());
+  }
+}
--- a/gateway/src/test/java/weldcross/gateway/RequestPipelineTest.java
+++ b/gateway/src/test/java/weldcross/gateway/RequestPipelineTest.java
@@ -98,6 +98,25 @@
     assertEquals(220, harness.history.answers.values().stream().filter("54000"::equals).count());
   }
 
+  /** Queries that were not held are refused, each once, in the order of the client's messages. */
+  @Test
+  void discardedQueriesAreRefusedInOrder() {
+    GatewayHarness harness = GatewayHarness.serving();
+    long client = harness.connect();
+    final String first = harness.request(client, false, 900);
+    harness.dispatch(gateway -> gateway.pipeline().queriesDiscarded(client, 600));
+    final String last = harness.request(client, false, 900);
+    harness.answer(harness.connectionOf(last), null);
+    assertEquals("", harness.connections.get(client).takeReceived());
+    harness.answer(harness.connectionOf(first), null);
+    harness.completeWrites();
+    String received = harness.connections.get(client).takeReceived();
+    assertTrue(received.startsWith("T"), "the first row");
+    assertEquals(600, received.split("C53300", -1).length - 1);
+    assertTrue(
+        received.lastIndexOf("C53300") < received.lastIndexOf("v-" + last), "the last row is last");
+  }
+
   @ParameterizedTest
   @CsvSource({"c=look,c=read", "c=look,c=file", "cluster=0,cluster=7", "d=900,'d=900,t=nobody'"})
   void invalidStatementIsRejected(String original, String replacement) {
--- a/gateway/src/test/java/weldcross/pgwire/ClientMessageDecoderTest.java
+++ b/gateway/src/test/java/weldcross/pgwire/ClientMessageDecoderTest.java
@@ -38,6 +38,17 @@
   private static final class RecordingSink implements ClientMessageDecoder.Sink {
     final List<String> events = new ArrayList<>();
     int startedMessages;
+    int maxQuerySize = Integer.MAX_VALUE;
+
+    @Override
+    public boolean admitQuery(int size) {
+      return size <= maxQuerySize;
+    }
+
+    @Override
+    public void queryDiscarded() {
+      events.add("discarded");
+    }
 
     @Override
     public void encryptionRequested() {
@@ -129,6 +140,40 @@
     }
   }
 
+  /** A message that is not to be held is skipped, however it arrives; those around it are not. */
+  @Test
+  void queryThatIsNotAdmittedIsDiscarded() {
+    byte[] stream =
+        bytes(
+            startup(),
+            query(READ),
+            query(write("00ff".repeat(30_000))),
+            query(write("0a".repeat(500))),
+            query(READ),
+            message('X', ""));
+    for (long seed = 0; seed < 200; seed++) {
+      RecordingSink sink = new RecordingSink();
+      sink.maxQuerySize = 800;
+      ClientMessageDecoder decoder = new ClientMessageDecoder(sink);
+      for (ByteBuffer fragment : fragments(stream, new SplittableRandom(seed))) {
+        decoder.feed(fragment);
+      }
+      List<String> kinds = sink.events.stream().map(event -> event.split(" ", -1)[0]).toList();
+      assertEquals(
+          List.of("startup", "statement", "discarded", "discarded", "statement", "terminated"),
+          kinds,
+          "seed " + seed);
+      assertEquals(6, decoder.messageCount());
+    }
+  }
+
+  /** Guards against memory for the body of a message of which the header already tells the end. */
+  @Test
+  void unsupportedMessageIsRejectedByItsHeader() {
+    byte[] header = ByteBuffer.allocate(5).put((byte) 'P').putInt(130_000).array();
+    assertEquals(List.of("startup", "error 0A000"), decode(bytes(startup(), header), null));
+  }
+
   @Test
   void startedMessageIsReportedOnce() {
     RecordingSink sink = new RecordingSink();
