Read clients on whatever waits, so that their disconnects are seen

Cause: with sixteen requests in flight a client was read 16 KB further and then not at all until answers had been written; the end lies behind what is unread. ConnectionCloseTest.disconnectIsDetectedBehindMuchInput fails without the change (`1 clients, 16 requests`, 20 s after the close) and passes with it.

Change: input is always read; messages wait in the client's inbox, within the memory that clients share, and what goes beyond is refused. Where reading is 50 ms behind, the client's end may lie unread: its requests without an attempt are given up and nothing is begun for it.

--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -166,6 +166,34 @@
     return true;
   }
 
+  /** Gives a request up that is not answered and has no open attempt; does nothing otherwise. */
+  void giveUpIfWithoutAttempt(RoutedRequest request) {
+    if (isWithoutAttempt(request)) {
+      gateway.router().clientDisconnected(gateway.now(), request.id);
+      answerGivenUp(request);
+      removeIfDone(request);
+    }
+  }
+
+  private static boolean isWithoutAttempt(RoutedRequest request) {
+    return !request.answered && request.openAttempts == 0;
+  }
+
+  private void answerGivenUp(RoutedRequest request) {
+    if (request.mayHaveExecuted) {
+      failed++;
+      answer(request, failedResponse());
+    } else {
+      rejected++;
+      answer(request, rejectedResponse());
+    }
+  }
+
+  /** Returns the response to a request that was not begun, without a time for a retry. */
+  static ByteBuffer rejectedResponse() {
+    return MessageEncoder.error(TOO_MANY_CONNECTIONS, "not now", null);
+  }
+
   // ---- Completion of requests
 
   /** Responds to a request, then starts the next one of its connection. */
@@ -220,7 +248,12 @@
      */
     @Override
     boolean maySend() {
-      return gateway.router().isStillEligible(transport.now(), request.id, number);
+      return !isInputBehind()
+          && gateway.router().isStillEligible(transport.now(), request.id, number);
+    }
+
+    private boolean isInputBehind() {
+      return transport.isInputBehind(request.pipelined.client.id);
     }
 
     @Override
@@ -236,12 +269,16 @@
     @Override
     void completed(AttemptOutcome outcome, ServerResponse response) {
       request.openAttempts--;
+      request.mayHaveExecuted |= !outcome.provesNotExecuted();
       Duration took = gateway.now().minus(sentAt);
       logEnd(outcome, took);
       if (outcome == AttemptOutcome.OK && !request.answered) {
         served++;
         answer(request, response.toClientMessages());
       }
+      if (outcome == AttemptOutcome.NOT_SENT && isInputBehind() && isWithoutAttempt(request)) {
+        answerGivenUp(request);
+      }
       Duration position = positionOf(response);
       Boolean primary = response == null ? null : response.primary();
       reports.recordRole(server, primary);
--- a/gateway/src/main/java/weldcross/gateway/ClientMemory.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientMemory.java
@@ -64,14 +64,20 @@
 
     private boolean closed;
 
+    /** Whether messages are refused until all input that has arrived is read. */
+    private volatile boolean refusing;
+
     /**
-     * Returns whether a message may be held, and accounts for it if so.
+     * Returns whether a message may be held, and accounts for it if so. After a refusal further
+     * messages are refused until {@link #inputDrained}: what a client sends faster than it is read
+     * is not begun, as its disconnect may lie behind.
      *
      * @param messageBytes the size of the message
      */
     synchronized boolean admit(int messageBytes) {
       long bytes = (long) messageBytes + REQUEST_OVERHEAD_BYTES;
-      if (!policy.admits(waitingBytes + startedBytes, heldBytes.get(), bytes)) {
+      if (refusing || !policy.admits(waitingBytes + startedBytes, heldBytes.get(), bytes)) {
+        refusing = true;
         refusedMessages.incrementAndGet();
         return false;
       }
@@ -81,6 +87,21 @@
       return true;
     }
 
+    /** Refuses messages until {@link #inputDrained}. */
+    void refuseUntilDrained() {
+      refusing = true;
+    }
+
+    /** Records that all input that had arrived was read. */
+    void inputDrained() {
+      refusing = false;
+    }
+
+    /** Returns whether messages are being refused and more input may have arrived. */
+    boolean isRefusing() {
+      return refusing;
+    }
+
     /** Returns the memory of the message that was admitted last and is now complete. */
     synchronized RequestMemory messageReceived() {
       RequestMemory memory = new RequestMemory(this, receivingBytes);
--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -2,39 +2,47 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.function.Supplier;
 import weldcross.pgwire.ClientMessageDecoder;
 
 /**
- * The byte stream of a client connection. While decoding is paused, input is still read and
- * buffered up to a limit, so that a disconnect is detected. After the last response, input is read
- * and discarded: closing a socket with unread input resets the connection, and the client may lose
- * the response.
+ * The byte stream of a client connection. Input is read and decoded even while the event loop takes
+ * no messages, so that a disconnect is detected however much the client has sent before; {@link
+ * ClientMemory} limits what is held of it. After the last response, input is read and discarded:
+ * closing a socket with unread input resets the connection, and the client may lose the response.
  */
 final class ClientStream extends Stream {
 
-  /** Reading stops when this much input is buffered while decoding is paused. */
-  private static final int MAX_BUFFERED_BYTES = 16_384;
+  /** Reading stops when more than this much input has been discarded after the last response. */
+  private static final int MAX_DISCARDED_BYTES = 1 << 18;
 
   /**
-   * Buffered input is decoded in slices of this size, so that decoding can be paused in between.
+   * How long input may be left unread until nothing more is begun for the client: half of the time
+   * in which nothing may be begun any more for a client that has disconnected.
    */
-  private static final int DECODE_SLICE_BYTES = 1_024;
-
-  /** Reading stops when more than this much input has been discarded after the last response. */
-  private static final int MAX_DISCARDED_BYTES = 1 << 18;
+  private static final Duration MAX_UNREAD_TIME = Duration.ofMillis(50);
 
   private final long connectionId;
   private final ReadBatch batch;
+  private final Supplier<Duration> clock;
   private final GatheringIoProcessor processor;
   private final ClientMemory.Account memory;
   private final ClientMessageDecoder decoder;
-  private final ArrayDeque<ByteBuffer> buffered = new ArrayDeque<>();
-  private int bufferedBytes;
+  private final ClientInbox inbox;
   private long receivedBytes;
   private int discardedBytes;
-  private volatile boolean paused;
+
+  /** The pass in which the client was last read while its queries were refused; 0 if never. */
+  private long lastReadPass;
+
+  /** Since when input that had arrived has been left unread; null if all was read. */
+  private Duration unreadSince;
+
+  private volatile boolean inputBehind;
+
+  /** Whether the connection was readable in the last pass and not read. */
+  private boolean deferred;
+
   private volatile boolean discarding;
 
   /**
@@ -52,15 +60,15 @@
       ClientMemory.Account memory) {
     this.connectionId = connectionId;
     this.batch = batch;
+    this.clock = clock;
     this.processor = processor;
     this.memory = memory;
-    this.decoder =
-        MessageDecoders.forClient(
-            event -> batch.addForClient(connectionId, event),
-            batch::add,
-            clock,
+    this.inbox =
+        new ClientInbox(
             connectionId,
-            memory);
+            event -> batch.addForClient(connectionId, event),
+            processor::afterPendingReads);
+    this.decoder = MessageDecoders.forClient(inbox, batch::add, clock, connectionId, memory);
   }
 
   @Override
@@ -71,59 +79,80 @@
   @Override
   void read(ByteBuffer in) {
     receivedBytes += in.remaining();
+    deferred = false;
     if (discarding) {
-      buffered.clear();
+      inbox.clear();
       discardedBytes += in.remaining();
       if (discardedBytes > MAX_DISCARDED_BYTES) {
         session.suspendRead();
       }
-    } else if (paused || !buffered.isEmpty()) {
-      bufferedBytes += in.remaining();
-      buffered.add(ByteBuffer.allocate(in.remaining()).put(in).flip());
-      if (bufferedBytes >= MAX_BUFFERED_BYTES) {
-        session.suspendRead();
-      }
     } else {
+      // A read that leaves room in its buffer has taken all that had arrived.
+      boolean drained = in.limit() < in.capacity();
+      recordProgress(drained);
       decoder.feed(in);
+      if (drained) {
+        memory.inputDrained();
+      }
+      inbox.deliver();
     }
   }
 
-  /** Pauses or resumes decoding; called on the event loop's thread. */
-  void setDecoding(boolean enabled) {
-    paused = !enabled;
-    if (enabled) {
-      processor.afterPendingReads(this::decodeBuffered);
-    }
-  }
-
-  private void decodeBuffered() {
-    ByteBuffer next = paused || discarding ? null : buffered.peek();
-    if (next == null) {
+  private void recordProgress(boolean drained) {
+    if (drained) {
+      unreadSince = null;
+      inputBehind = false;
+      memory.inputDrained();
       return;
     }
-    int size = Math.min(DECODE_SLICE_BYTES, next.remaining());
-    try {
-      decoder.feed(next.slice(next.position(), size));
-    } catch (RuntimeException e) {
-      // A decoder failure closes the connection, as it does when MINA itself calls read.
-      connectionFailed = true;
-      session.closeNow();
-      return;
-    }
-    next.position(next.position() + size);
-    bufferedBytes -= size;
-    if (!next.hasRemaining()) {
-      buffered.poll();
-    }
-    if (bufferedBytes < MAX_BUFFERED_BYTES) {
-      session.resumeRead();
+    Duration now = clock.get();
+    if (unreadSince == null) {
+      unreadSince = now;
+    } else if (!inputBehind && now.minus(unreadSince).compareTo(MAX_UNREAD_TIME) > 0) {
+      inputBehind = true;
+      memory.refuseUntilDrained();
+      batch.addForClient(connectionId, g -> g.pipeline().inputFellBehind(connectionId));
     }
-    processor.afterPendingReads(this::decodeBuffered);
+  }
+
+  /**
+   * Returns whether input of this client has been left unread for longer than {@link
+   * #MAX_UNREAD_TIME}; may be called by any thread.
+   */
+  boolean isInputBehind() {
+    return inputBehind;
+  }
+
+  /** Pauses or resumes passing on messages; called on the event loop's thread. */
+  void setDelivering(boolean enabled) {
+    inbox.setDelivering(enabled);
+  }
+
+  /** Returns whether queries are being refused until all input that has arrived is read. */
+  boolean isRefusing() {
+    return memory.isRefusing();
+  }
+
+  long lastReadPass() {
+    return lastReadPass;
+  }
+
+  /** Records that the connection is read in a pass while its queries are refused. */
+  void readInPass(long pass) {
+    lastReadPass = pass;
+  }
+
+  /** Records that the connection is readable and left to a later pass. */
+  void defer() {
+    deferred = true;
   }
 
   /** Whether at most this many messages, and no part of a further one, have been received. */
   boolean isQuiet(int messages) {
-    return decoder.messageCount() <= messages && !decoder.isInMessage() && buffered.isEmpty();
+    return !deferred
+        && decoder.messageCount() <= messages
+        && !decoder.isInMessage()
+        && inbox.isEmpty();
   }
 
   /**
@@ -144,7 +173,7 @@
           if (decoder.messageCount() > messages || !decoder.isInMessage()) {
             return;
           }
-          if (receivedBytes > receivedBefore || !buffered.isEmpty()) {
+          if (deferred || receivedBytes > receivedBefore) {
             checkMessageIncomplete(messages, receivedBytes);
           } else {
             batch.addForClient(
--- a/gateway/src/main/java/weldcross/gateway/GatheringIoProcessor.java
+++ b/gateway/src/main/java/weldcross/gateway/GatheringIoProcessor.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
@@ -16,9 +17,10 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * MINA's I/O processor, extended by gathering writes and by tasks that run after pending reads.
- * MINA itself writes one buffer at a time and does not expose the channel of a session; the channel
- * is found by the selection key that is attached to the session.
+ * MINA's I/O processor, extended by gathering writes, by tasks that run after pending reads and by
+ * a limit on the clients that send more than is held. MINA itself writes one buffer at a time and
+ * does not expose the channel of a session; the channel is found by the selection key that is
+ * attached to the session.
  */
 final class GatheringIoProcessor extends NioProcessor {
 
@@ -27,6 +29,9 @@
 
   private final Runnable onBatchRead;
 
+  private final BulkReadLimiter<NioSession> bulkReads =
+      new BulkReadLimiter<>(StreamHandler::streamOf);
+
   /** Tasks that run at the end of the read batch after the current one. */
   private final Queue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>();
 
@@ -45,7 +50,10 @@
     this.onBatchRead = onBatchRead;
   }
 
-  /** Runs a task on this processor's thread after everything received until now was read. */
+  /**
+   * Runs a task on this processor's thread after everything received until now was read, except
+   * from clients that {@link BulkReadLimiter} has deferred.
+   */
   void afterPendingReads(Runnable task) {
     submittedTasks.add(task);
     wakeup();
@@ -67,6 +75,11 @@
     return super.select(timeout);
   }
 
+  @Override
+  protected Iterator<NioSession> selectedSessions() {
+    return bulkReads.choose(super.selectedSessions());
+  }
+
   /** Catches the exception of a task, as it would end this thread, which reads all connections. */
   private static void runAndLogFailure(Runnable task) {
     try {
--- a/gateway/src/main/java/weldcross/gateway/MessageDecoders.java
+++ b/gateway/src/main/java/weldcross/gateway/MessageDecoders.java
@@ -26,25 +26,29 @@
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number) {
-    return forClient(post, postAlways, clock, number, ClientMemory.unlimitedAccount());
+    Runnable discarded = () -> post.accept(g -> g.pipeline().queriesDiscarded(number, 1));
+    ClientMemory.Account memory = ClientMemory.unlimitedAccount();
+    return new ClientMessageDecoder(
+        new ClientEvents(post, discarded, postAlways, clock, number, memory));
   }
 
   /**
    * Returns a decoder for what a client sends that refuses messages for which there is no memory.
    *
-   * @param post receives events that may be discarded if this client disconnects
+   * @param inbox receives events that may be discarded if this client disconnects
    * @param postAlways receives events that must be handled even if this client disconnects
    * @param clock the time since the gateway's start
    * @param number identifies the client's connection
    * @param memory accounts for the client's messages
    */
   static ClientMessageDecoder forClient(
-      Consumer<Gateway.Event> post,
+      ClientInbox inbox,
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number,
       ClientMemory.Account memory) {
-    return new ClientMessageDecoder(new ClientEvents(post, postAlways, clock, number, memory));
+    return new ClientMessageDecoder(
+        new ClientEvents(inbox::add, inbox::addDiscardedQuery, postAlways, clock, number, memory));
   }
 
   /**
@@ -60,6 +64,7 @@
   /** Posts the messages of one client as events. */
   private record ClientEvents(
       Consumer<Gateway.Event> post,
+      Runnable postDiscardedQuery,
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number,
@@ -111,7 +116,7 @@
 
     @Override
     public void queryDiscarded() {
-      post.accept(gateway -> gateway.pipeline().queriesDiscarded(number, 1));
+      postDiscardedQuery.run();
     }
 
     @Override
--- a/gateway/src/main/java/weldcross/gateway/MinaTransport.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaTransport.java
@@ -277,10 +277,16 @@
   public void setReading(long connection, boolean reading) {
     IoSession session = sessions.get(connection);
     if (session != null) {
-      clientStreamOf(session).setDecoding(reading);
+      clientStreamOf(session).setDelivering(reading);
     }
   }
 
+  @Override
+  public boolean isInputBehind(long connection) {
+    IoSession session = sessions.get(connection);
+    return session != null && clientStreamOf(session).isInputBehind();
+  }
+
   @Override
   public void afterPendingReads(long connection) {
     processor.afterPendingReads(() -> loop.post(gateway -> gateway.pendingReadsDone(connection)));
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -140,6 +140,23 @@
     startOrPause(client);
   }
 
+  /**
+   * Handles that reading has fallen behind what a client sends: its disconnect may lie behind the
+   * rest, and nothing may be begun for a client that has gone. All its requests without an open
+   * attempt are given up.
+   */
+  void inputFellBehind(long connectionId) {
+    ClientConnection client = clients.find(connectionId);
+    if (client == null) {
+      return;
+    }
+    for (PipelinedRequest request : List.copyOf(client.inFlight)) {
+      if (request.routed != null) {
+        attempts.giveUpIfWithoutAttempt(request.routed);
+      }
+    }
+  }
+
   private static ByteBuffer refusals(int count) {
     int size = REFUSALS.remaining() / REFUSALS_PER_WRITE;
     return REFUSALS.duplicate().limit(count * size);
@@ -265,6 +282,11 @@
       respond(request, MessageEncoder.error("57P03", "stopping", null));
       return;
     }
+    if (transport.isInputBehind(request.client.id)) {
+      memory.release();
+      respond(request, AttemptTracker.rejectedResponse());
+      return;
+    }
     int requestClass = config.requestClassNames().indexOf(statement.requestClass());
     RequestId id = new RequestId(statement.id());
     GroupId group = new GroupId(statement.group());
--- a/gateway/src/main/java/weldcross/gateway/RoutedRequest.java
+++ b/gateway/src/main/java/weldcross/gateway/RoutedRequest.java
@@ -26,6 +26,9 @@
   /** Number of attempts that have not ended. */
   int openAttempts;
 
+  /** Whether an attempt that has ended may have been executed. */
+  boolean mayHaveExecuted;
+
   /** Whether the response is available or the client has disconnected. */
   boolean answered;
 
--- a/gateway/src/main/java/weldcross/gateway/Transport.java
+++ b/gateway/src/main/java/weldcross/gateway/Transport.java
@@ -62,9 +62,17 @@
    */
   boolean write(long connection, ByteBuffer... parts);
 
-  /** Resumes or pauses reading messages of a client; while paused, they remain in buffers. */
+  /** Resumes or pauses passing on messages of a client, which are received all the same. */
   void setReading(long connection, boolean reading);
 
+  /**
+   * Returns whether reading has fallen behind what a client sends, so that its disconnect may lie
+   * unread behind the rest. An event is posted when this begins.
+   */
+  default boolean isInputBehind(long connection) {
+    return false;
+  }
+
   /**
    * Posts an event for the connection after everything that was received until now, on any
    * connection, was read and posted.
--- a/gateway/src/main/java/weldcross/pgwire/Statement.java
+++ b/gateway/src/main/java/weldcross/pgwire/Statement.java
@@ -17,7 +17,9 @@
   private static final byte[] WRITE_SUFFIX = ascii("') RETURNING content /* ");
   private static final byte[] COMMENT_END = ascii(" */\0");
   private static final int HEADER_SIZE = FrameDecoder.bodyOffset((byte) 'Q');
-  private static final int HEX = 16;
+
+  /** Whether a byte, taken as unsigned, is a hex digit. */
+  private static final boolean[] HEX_DIGITS = hexDigits();
 
   private final ByteBuffer message;
 
@@ -221,7 +223,7 @@
 
   private void skipHexValue() throws ProtocolException {
     int start = offset;
-    while (offset < message.limit() && Character.digit(message.get(offset), HEX) >= 0) {
+    while (offset < message.limit() && HEX_DIGITS[Byte.toUnsignedInt(message.get(offset))]) {
       offset++;
     }
     if ((offset - start) % 2 != 0) {
@@ -280,6 +282,14 @@
     return new ProtocolException(SqlState.INVALID_PARAMETER_VALUE, message);
   }
 
+  private static boolean[] hexDigits() {
+    boolean[] digits = new boolean[1 << Byte.SIZE];
+    for (byte digit : ascii("0123456789abcdefABCDEF")) {
+      digits[digit] = true;
+    }
+    return digits;
+  }
+
   private static byte[] ascii(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
--- a/gateway/src/test/java/weldcross/gateway/ConnectionCloseTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ConnectionCloseTest.java
@@ -213,6 +213,16 @@
             + ",cluster=0 */");
   }
 
+  /** Returns a write of a value of so many bytes. */
+  private ByteBuffer writeStatement(int bytes) {
+    return MessageEncoder.query(
+        "INSERT INTO kv (name, content) VALUES ('k', '\\x"
+            + "ab".repeat(bytes)
+            + "') RETURNING content /* id=a"
+            + nextRequest++
+            + ",c=file,d=60000,cluster=0 */");
+  }
+
   private void sendReads(Socket client, int statements) throws IOException {
     for (int index = 0; index < statements; index++) {
       send(client, readStatement());
@@ -316,6 +326,34 @@
     assertEquals(MAX_REQUESTS_IN_PROGRESS, acceptedRequests());
   }
 
+  /**
+   * Guards against attempts for a client that has gone: its disconnect is detected behind all that
+   * it has sent, more than sockets' buffers and far more than is in progress.
+   */
+  @Test
+  void disconnectIsDetectedBehindMuchInput() throws Exception {
+    Socket client = connect();
+    List<byte[]> statements = new ArrayList<>();
+    for (int index = 0; index < 400; index++) {
+      statements.add(writeStatement(4_000).array());
+    }
+    Thread sender =
+        new Thread(
+            () -> {
+              try (client) {
+                for (byte[] statement : statements) {
+                  client.getOutputStream().write(statement);
+                }
+              } catch (IOException e) {
+                throw new UncheckedIOException(e);
+              }
+            });
+    sender.start();
+    awaitCondition(() -> clientCount() == 0);
+    sender.join();
+    assertTrue(acceptedRequests() <= MAX_REQUESTS_IN_PROGRESS);
+  }
+
   /** Guards against statements that are lost because they were received while reading is paused. */
   @Test
   void allBufferedStatementsAreAccepted() throws Exception {
--- a/gateway/src/test/java/weldcross/gateway/FakeTransport.java
+++ b/gateway/src/test/java/weldcross/gateway/FakeTransport.java
@@ -41,6 +41,9 @@
   /** Clients that do not read yet what is written to them. */
   final Set<Long> slowReaders = new HashSet<>();
 
+  /** Clients whose input has been left unread for too long. */
+  final Set<Long> inputBehind = new HashSet<>();
+
   /** Servers to which no connection is established. */
   final Set<String> unreachable = new HashSet<>();
 
@@ -181,6 +184,11 @@
     }
   }
 
+  @Override
+  public boolean isInputBehind(long number) {
+    return inputBehind.contains(number);
+  }
+
   @Override
   public void setReading(long number, boolean reading) {
     calls.add((reading ? "resumeReading " : "pauseReading ") + number);
--- a/gateway/src/test/java/weldcross/gateway/RequestPipelineTest.java
+++ b/gateway/src/test/java/weldcross/gateway/RequestPipelineTest.java
@@ -117,6 +117,32 @@
         received.lastIndexOf("C53300") < received.lastIndexOf("v-" + last), "the last row is last");
   }
 
+  /**
+   * Guards against attempts for a client whose disconnect lies unread behind its input: what waits
+   * for a server is given up, what is in progress goes on, and nothing more is begun.
+   */
+  @Test
+  void nothingIsBegunWhileTheInputOfAClientIsBehind() {
+    GatewayHarness harness = GatewayHarness.serving();
+    long client = harness.connect();
+    List<String> ids = new ArrayList<>();
+    for (int k = 0; k < 16; k++) {
+      ids.add(harness.request(client, true, 900));
+    }
+    List<String> begun = ids.stream().filter(harness.history.openAttempts::containsKey).toList();
+    assertTrue(begun.size() < ids.size(), "some wait for a server");
+    harness.inputBehind.add(client);
+    harness.dispatch(gateway -> gateway.pipeline().inputFellBehind(client));
+    ids.add(harness.request(client, true, 900));
+    begun.forEach(id -> harness.answer(harness.connectionOf(id), null));
+    for (String id : ids) {
+      String expected = begun.contains(id) ? "ok" : "53300";
+      assertEquals(expected, harness.history.answers.get(id), id);
+    }
+    harness.inputBehind.remove(client);
+    harness.connectionOf(harness.request(client, true, 900));
+  }
+
   @ParameterizedTest
   @CsvSource({"c=look,c=read", "c=look,c=file", "cluster=0,cluster=7", "d=900,'d=900,t=nobody'"})
   void invalidStatementIsRejected(String original, String replacement) {
