A read that fills its buffer after a rest does not count as input left unread

ClientStreamTest has the case.

Change: a connection that a pass over the sockets did not select had no input left.

--- a/gateway/src/main/java/weldcross/gateway/BulkReadLimiter.java
+++ b/gateway/src/main/java/weldcross/gateway/BulkReadLimiter.java
@@ -33,6 +33,11 @@
     this.streamOf = streamOf;
   }
 
+  /** Returns the number of the current or last pass, counted from 1. */
+  long pass() {
+    return pass;
+  }
+
   /** Removes all sessions from the given iterator; returns those to process in this pass. */
   Iterator<S> choose(Iterator<S> selected) {
     pass++;
@@ -54,11 +59,11 @@
   }
 
   private void addLongestWaiting(List<BulkSession<S>> bulk, List<S> chosen) {
-    bulk.sort(Comparator.comparingLong(entry -> entry.stream.lastReadPass()));
+    bulk.sort(Comparator.comparingLong(entry -> entry.stream.lastTurn()));
     int reads = 0;
     for (BulkSession<S> entry : bulk) {
       if (reads < MAX_BULK_READS) {
-        entry.stream.readInPass(pass);
+        entry.stream.takeTurn(pass);
         chosen.add(entry.session);
         reads++;
       } else {
--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -32,9 +32,12 @@
   private long receivedBytes;
   private int discardedBytes;
 
-  /** The pass in which the client was last read while its queries were refused; 0 if never. */
+  /** The pass in which the connection was last read; 0 if never. */
   private long lastReadPass;
 
+  /** The last pass in which the connection was chosen while its queries were refused. */
+  private long lastTurn;
+
   /** Since when input that had arrived has been left unread; null if all was read. */
   private Duration unreadSince;
 
@@ -79,6 +82,9 @@
   @Override
   void read(ByteBuffer in) {
     receivedBytes += in.remaining();
+    // A connection that the pass before did not select had no more input then.
+    boolean drainedBefore = !deferred && processor.pass() > lastReadPass + 1;
+    lastReadPass = processor.pass();
     deferred = false;
     if (discarding) {
       inbox.clear();
@@ -89,7 +95,7 @@
     } else {
       // A read that leaves room in its buffer has taken all that had arrived.
       boolean drained = in.limit() < in.capacity();
-      recordProgress(drained);
+      recordProgress(drained, drainedBefore);
       decoder.feed(in);
       if (drained) {
         memory.inputDrained();
@@ -98,11 +104,14 @@
     }
   }
 
-  private void recordProgress(boolean drained) {
-    if (drained) {
+  /** Records whether all input that had arrived is read now, or was before this read. */
+  private void recordProgress(boolean drained, boolean drainedBefore) {
+    if (drained || drainedBefore) {
       unreadSince = null;
       inputBehind = false;
       memory.inputDrained();
+    }
+    if (drained) {
       return;
     }
     Duration now = clock.get();
@@ -133,13 +142,13 @@
     return memory.isRefusing();
   }
 
-  long lastReadPass() {
-    return lastReadPass;
+  long lastTurn() {
+    return lastTurn;
   }
 
-  /** Records that the connection is read in a pass while its queries are refused. */
-  void readInPass(long pass) {
-    lastReadPass = pass;
+  /** Records that the connection is one of those chosen in a pass while its queries are refused. */
+  void takeTurn(long pass) {
+    lastTurn = pass;
   }
 
   /** Records that the connection is readable and left to a later pass. */
--- a/gateway/src/main/java/weldcross/gateway/GatheringIoProcessor.java
+++ b/gateway/src/main/java/weldcross/gateway/GatheringIoProcessor.java
@@ -75,6 +75,11 @@
     return super.select(timeout);
   }
 
+  /** Returns the number of the pass that is being made; each pass selects all that is readable. */
+  long pass() {
+    return bulkReads.pass();
+  }
+
   @Override
   protected Iterator<NioSession> selectedSessions() {
     return bulkReads.choose(super.selectedSessions());
--- /dev/null
+++ b/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
@@ -0,0 +1,100 @@
+package weldcross.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import weldcross.connections.ClientMemoryPolicy;
+import weldcross.pgwire.MessageEncoder;
+
+/** When reading counts as behind what a client sends. */
+class ClientStreamTest {
+
+  private static final int QUERIES_PER_READ = 100;
+
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final GatheringIoProcessor processor = new GatheringIoProcessor(threads, () -> {});
+  private final ClientMemory memory = new ClientMemory(new ClientMemoryPolicy(100 << 20));
+  private final List<Gateway.Event> posted = new ArrayList<>();
+  private final ReadBatch batch = new ReadBatch(posted::add);
+  private Duration now = Duration.ZERO;
+  private final ClientStream stream =
+      new ClientStream(1, batch, processor, () -> now, memory.openAccount());
+
+  @BeforeEach
+  void startSession() {
+    startPass();
+    ByteBuffer startup = MessageEncoder.startup();
+    stream.read(ByteBuffer.allocate(2 * startup.remaining()).put(startup).flip());
+  }
+
+  @AfterEach
+  void stop() {
+    threads.shutdownNow();
+  }
+
+  /** Starts a pass over the sockets. */
+  private void startPass() {
+    processor.selectedSessions();
+  }
+
+  /** Reads queries in the next pass; more may have arrived if they fill the buffer. */
+  private void readInNextPass(boolean fillsBuffer) {
+    startPass();
+    ByteBuffer query = MessageEncoder.query("");
+    int size = query.remaining() * QUERIES_PER_READ;
+    ByteBuffer buffer = ByteBuffer.allocate(fillsBuffer ? size : size + 1);
+    for (int index = 0; index < QUERIES_PER_READ; index++) {
+      buffer.put(query.duplicate());
+    }
+    stream.read(buffer.flip());
+  }
+
+  /** Guards against attempts for a client whose end lies unread behind its input. */
+  @Test
+  void inputLeftUnreadForTooLongIsBehindUntilAllIsRead() {
+    readInNextPass(true);
+    now = now.plusMillis(40);
+    readInNextPass(true);
+    assertFalse(stream.isInputBehind());
+    now = now.plusMillis(20);
+    readInNextPass(true);
+    assertTrue(stream.isInputBehind());
+    readInNextPass(false);
+    assertFalse(stream.isInputBehind());
+    assertFalse(stream.isRefusing());
+    batch.postAll();
+    assertEquals(9, posted.size(), "8 messages, and that input fell behind");
+  }
+
+  /** Guards against refusals for a client whose last read happened to fill its buffer. */
+  @Test
+  void readThatFillsItsBufferAfterARestIsNotBehind() {
+    readInNextPass(true);
+    startPass();
+    now = now.plusSeconds(10);
+    readInNextPass(true);
+    assertFalse(stream.isInputBehind());
+    assertFalse(stream.isRefusing());
+  }
+
+  /** A connection that was left to a later pass has input, other than one that is not readable. */
+  @Test
+  void deferredInputIsBehind() {
+    readInNextPass(true);
+    startPass();
+    stream.defer();
+    now = now.plusMillis(60);
+    readInNextPass(true);
+    assertTrue(stream.isInputBehind());
+  }
+}
