Review case 9: gateways that stood still send to a server that is draining

Cause: after a gateway stood still, timers that became due act before what has arrived is read, and the watch's response deadline drops a list that lies unread in the socket; the old list stays in use. Change: case 9, and draining servers in the stand-ins. Nothing is fixed.

--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -128,6 +128,7 @@
         self.up_since = 0
         self.phase = "active"
         self.hung = False
+        self.draining = False
         self.stands_at = None
         self.server = None
         self.port = None
@@ -234,6 +235,11 @@
             "class": fields[b"c"].decode(), "answered": None,
         }
         self.arrivals.append(arrival)
+        if self.draining:
+            self.record.line(f"{self.name} <- {rid}: draining, turned away")
+            writer.write(self.mode() + error("53300", "draining") + READY)
+            await writer.drain()
+            return
         if write and not self.primary:
             self.record.line(f"{self.name} <- write {rid}: 25006")
             writer.write(self.mode() + error("25006", "read-only") + READY)
