Review stand-ins: a fault of a script is not taken for a broken rule

Cause: an uncaught error of the interpreter ends with status 1, which a script would pass on as a broken rule.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")" || exit 2
 [ -f ../../gateway/target/weldcross.jar ] || { echo "not built"; exit 2; }
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=../standin-2 timeout -k 2 116 python3 case.py
-status=$?
-[ "$status" -le 1 ] && exit "$status"
-exit 2
+case $? in
+  0) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -232,10 +232,11 @@
         arrival = {
             "at": received, "id": rid, "server": self.name, "write": write,
             "primary": self.primary, "position": self.position(received),
-            "class": fields[b"c"].decode(), "answered": None,
+            "class": fields[b"c"].decode(), "answered": None, "away": False,
         }
         self.arrivals.append(arrival)
         if self.draining:
+            arrival["away"] = True
             self.record.line(f"{self.name} <- {rid}: draining, turned away")
             writer.write(self.mode() + error("53300", "draining") + READY)
             await writer.drain()
@@ -607,6 +608,9 @@
 
     async def whole():
         record = Record(case_file)
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: record.line(f"stand-in: {context.get('exception')!r}")
+        )
         started = []
         verdict = COULD_NOT_RUN
         try:
@@ -615,6 +619,8 @@
             record.say(f"could not run: {e}")
         except asyncio.TimeoutError:
             record.say("could not run: the case took too long")
+        except Exception as e:  # a fault of the script says nothing about the gateway
+            record.say(f"could not run: {e!r}")
         finally:
             for one in reversed(started):
                 try:
@@ -626,4 +632,6 @@
             record.close()
         return verdict
 
-    sys.exit(asyncio.run(whole()))
+    # run.sh maps these to its own exit status, so that a crash of the interpreter, whose status is
+    # 1, is not taken for a broken rule.
+    sys.exit({HELD: 0, BROKEN: 11}.get(asyncio.run(whole()), 2))
