Limit the memory of servers' responses, and refuse reads whose rows find no room

Cause: responses wait in the order of their requests and nothing counted their bytes; each also kept read buffers of up to 64 KiB by its short messages. Class histograms 0.6 s apart: 5, 34, 71 MB, nearly all of it byte arrays.

Change: ResponseMemory accounts for a response from a message's header until its client has taken it; ResponseMemoryPolicy has a quarter of the heap for it, half of that for responses that wait. A row that finds no room is discarded as it arrives: a read is answered 53300, a write 58000. Kept messages are copied to their size. A closed server connection drops its request.

--- a/gateway/src/main/java/weldcross/connections/ClientMemoryPolicy.java
+++ b/gateway/src/main/java/weldcross/connections/ClientMemoryPolicy.java
@@ -2,26 +2,18 @@
 
 /**
  * Decides whether a gateway may hold a further message of a client in memory. Clients share a limit
- * by dynamic thresholds: each may hold a fraction of what is free. Many clients that send much
- * therefore leave a part free, of which a further client gets its share, while a single one may
- * hold much. Each client may also hold a small reserve, so that short requests are served whatever
- * others hold.
- *
- * <p>Source: Choudhury and Hahne, Dynamic Queue Length Thresholds for Shared-Memory Packet
- * Switches, IEEE/ACM Transactions on Networking 6(2), 1998. Does no I/O; immutable.
+ * by {@link FairShare}; the reserve of each client lets short requests be served whatever others
+ * hold. Does no I/O; immutable.
  */
 public final class ClientMemoryPolicy {
 
   /** What a client may hold even if nothing is free, in bytes. */
   static final int RESERVED_BYTES = 8_192;
 
-  /** A client may hold the free memory divided by this. */
-  private static final int FREE_DIVISOR = 8;
-
   /** Clients may hold the heap divided by this; the rest is for the process and its servers. */
   private static final int HEAP_DIVISOR = 4;
 
-  private final long limitBytes;
+  private final FairShare share;
 
   /**
    * Creates a policy.
@@ -29,7 +21,7 @@
    * @param limitBytes what all clients may hold together, apart from their reserves, in bytes
    */
   public ClientMemoryPolicy(long limitBytes) {
-    this.limitBytes = limitBytes;
+    this.share = new FairShare(limitBytes, RESERVED_BYTES);
   }
 
   /**
@@ -43,7 +35,7 @@
 
   /** Returns what all clients may hold together, apart from their reserves, in bytes. */
   public long limitBytes() {
-    return limitBytes;
+    return share.limitBytes();
   }
 
   /**
@@ -54,7 +46,6 @@
    * @param messageBytes what the message needs
    */
   public boolean admits(long clientBytes, long heldBytes, long messageBytes) {
-    long share = Math.max(RESERVED_BYTES, (limitBytes - heldBytes) / FREE_DIVISOR);
-    return clientBytes + messageBytes <= share;
+    return share.admits(clientBytes, heldBytes, messageBytes);
   }
 }
--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.logging.Logger;
 import weldcross.pgwire.MessageEncoder;
+import weldcross.pgwire.ResponseAccount;
 import weldcross.pgwire.ServerResponse;
 import weldcross.routing.AttemptOutcome;
 import weldcross.routing.AttemptResult;
@@ -198,8 +199,12 @@
 
   /** Responds to a request, then starts the next one of its connection. */
   void answer(RoutedRequest request, ByteBuffer... response) {
+    answer(request, ResponseAccount.UNLIMITED, response);
+  }
+
+  private void answer(RoutedRequest request, ResponseAccount memory, ByteBuffer... response) {
     request.answered = true;
-    gateway.pipeline().respond(request.pipelined, response);
+    gateway.pipeline().respond(request.pipelined, memory, response);
     // Deferred because the router may be in the middle of a decision.
     gateway.defer(() -> gateway.pipeline().startNext(request.pipelined.client));
   }
@@ -266,6 +271,11 @@
       return request.statement().commandTag();
     }
 
+    @Override
+    ResponseMemory.ClientAccount responseMemory() {
+      return request.pipelined.client.responseMemory;
+    }
+
     @Override
     void completed(AttemptOutcome outcome, ServerResponse response) {
       request.openAttempts--;
@@ -273,8 +283,7 @@
       Duration took = gateway.now().minus(sentAt);
       logEnd(outcome, took);
       if (outcome == AttemptOutcome.OK && !request.answered) {
-        served++;
-        answer(request, response.toClientMessages());
+        answerWith(response);
       }
       if (outcome == AttemptOutcome.NOT_SENT && isInputBehind() && isWithoutAttempt(request)) {
         answerGivenUp(request);
@@ -299,6 +308,29 @@
       removeIfDone(request);
     }
 
+    private void answerWith(ServerResponse response) {
+      if (response.isRowDiscarded() || !gateway.pipeline().mayHold(request.pipelined, response)) {
+        answerWithoutRow();
+      } else {
+        served++;
+        answer(request, response.takeMemory(), response.toClientMessages());
+      }
+    }
+
+    /** Refuses a request whose row could not be held: a read had no effect, a write had its. */
+    private void answerWithoutRow() {
+      gateway.warn("responses refused: reason=" + RequestPipeline.OUT_OF_MEMORY);
+      if (request.statement().isWrite()) {
+        failed++;
+        answer(request, failedResponse());
+      } else {
+        rejected++;
+        answer(
+            request,
+            MessageEncoder.error(TOO_MANY_CONNECTIONS, RequestPipeline.OUT_OF_MEMORY, null));
+      }
+    }
+
     private void logEnd(AttemptOutcome outcome, Duration took) {
       LOG.fine(
           () ->
--- a/gateway/src/main/java/weldcross/gateway/ClientConnection.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnection.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import weldcross.pgwire.ResponseAccount;
 
 /**
  * The state of one client connection. Its requests run concurrently, and its responses are written
@@ -21,6 +24,12 @@
   /** Requests that are started and whose responses are not yet written, in the order received. */
   final ArrayDeque<PipelinedRequest> inFlight = new ArrayDeque<>(2);
 
+  /** Accounts for the responses to this client. */
+  final ResponseMemory.ClientAccount responseMemory;
+
+  /** The memory of the responses that are being written. */
+  private final List<ResponseAccount> unwritten = new ArrayList<>(1);
+
   /** Whether a write is in progress; further responses wait for its completion. */
   boolean writing;
 
@@ -45,12 +54,27 @@
   /** When the last response was written or, before the first one, the connection was accepted. */
   Duration idleSince;
 
-  ClientConnection(long id, int secretKey, Duration now) {
+  ClientConnection(
+      long id, int secretKey, Duration now, ResponseMemory.ClientAccount responseMemory) {
     this.id = id;
     this.secretKey = secretKey;
+    this.responseMemory = responseMemory;
     this.idleSince = now;
   }
 
+  /** Records that a response is about to be written; see {@link #releaseUnwritten}. */
+  void addUnwritten(ResponseAccount memory) {
+    if (memory != ResponseAccount.UNLIMITED) {
+      unwritten.add(memory);
+    }
+  }
+
+  /** Gives back the memory of the responses that were written or cannot be written any more. */
+  void releaseUnwritten() {
+    unwritten.forEach(ResponseAccount::release);
+    unwritten.clear();
+  }
+
   /** Records that the start of a message, but not all of it, has been received. */
   void messageStarted() {
     messagesBeforePartial = messages;
--- a/gateway/src/main/java/weldcross/gateway/ClientConnections.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnections.java
@@ -3,11 +3,10 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import weldcross.config.GatewayConfig;
 import weldcross.connections.ClientEvictionPolicy;
@@ -36,8 +35,8 @@
   /** Open connections by id, in the order accepted. */
   private final Map<Long, ClientConnection> open = new LinkedHashMap<>();
 
-  /** Ids of connections half-closed by the gateway whose clients may still be reading. */
-  private final Set<Long> lingering = new HashSet<>();
+  /** Connections half-closed by the gateway, by id, whose clients may still be reading. */
+  private final Map<Long, ClientConnection> lingering = new HashMap<>();
 
   /** Number of open connections with a pending conditional close. */
   private int closePending;
@@ -77,7 +76,11 @@
   /** Handles a new connection. At the limit, if none can be evicted, it is closed with an error. */
   void accepted(long connectionId) {
     ClientConnection client =
-        new ClientConnection(connectionId, secretKeys.nextInt(), gateway.now());
+        new ClientConnection(
+            connectionId,
+            secretKeys.nextInt(),
+            gateway.now(),
+            gateway.responseMemory().openAccount());
     if (open.size() - closePending >= maxClients && !evictOne()) {
       transport.write(connectionId, MessageEncoder.fatal("53300", "too many clients"));
       closeAfterWrite(client);
@@ -183,8 +186,9 @@
     if (client != null) {
       remove(client);
       abandonRequests(client);
+      client.releaseUnwritten();
     }
-    if (lingering.remove(connectionId) || client != null) {
+    if (stopLingering(connectionId) || client != null) {
       gateway.shutdown().stopIfDone();
     }
   }
@@ -246,8 +250,8 @@
     gateway.warn("client connection closed: reason=" + text);
     List<ByteBuffer> parts = new ArrayList<>();
     for (PipelinedRequest request : client.inFlight) {
-      if (request.response != null) {
-        parts.addAll(List.of(request.response));
+      if (request.hasResponse()) {
+        parts.addAll(List.of(request.takeResponse()));
       } else {
         parts.add(AttemptTracker.failedResponse());
       }
@@ -273,16 +277,26 @@
 
   /** Closes a half-closed connection after the connect timeout, unless its client does earlier. */
   private void linger(ClientConnection client) {
-    lingering.add(client.id);
+    lingering.put(client.id, client);
     gateway.schedule(
         gateway.now().plus(connectTimeout),
         () -> {
           transport.closeNow(client.id);
-          lingering.remove(client.id);
+          stopLingering(client.id);
           gateway.shutdown().stopIfDone();
         });
   }
 
+  /** Returns whether the connection was lingering; what it had not read is dropped. */
+  private boolean stopLingering(long connectionId) {
+    ClientConnection client = lingering.remove(connectionId);
+    if (client == null) {
+      return false;
+    }
+    client.releaseUnwritten();
+    return true;
+  }
+
   private void remove(ClientConnection client) {
     open.remove(client.id);
     closePending -= client.closePending ? 1 : 0;
@@ -295,6 +309,7 @@
     for (PipelinedRequest next = client.inFlight.poll();
         next != null;
         next = client.inFlight.poll()) {
+      next.dropResponse();
       RoutedRequest request = next.routed;
       if (request != null && !request.answered) {
         gateway.attempts().abandon(request);
--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import weldcross.config.GatewayConfig;
+import weldcross.connections.ResponseMemoryPolicy;
 import weldcross.discovery.DiscoveredEndpoint;
 import weldcross.extension.ExtensionContext;
 import weldcross.extension.GatewayExtension;
@@ -58,6 +59,7 @@
 
   private final RateLimitedLogger warnings = new RateLimitedLogger(LOG);
   private final ExtensionHost extensions = new ExtensionHost();
+  private final ResponseMemory responseMemory;
   private final ServerConnectionPool serverConnections;
   private final DiscoveryWatcher discovery;
   private final EndpointDirectory endpoints;
@@ -83,8 +85,27 @@
    * @param unixTimeAtStart the Unix time, as a duration since 1970, at time zero of the event loop
    */
   Gateway(GatewayConfig config, Transport transport, Duration unixTimeAtStart) {
+    this(
+        config,
+        transport,
+        unixTimeAtStart,
+        ResponseMemoryPolicy.ofHeap(Runtime.getRuntime().maxMemory()));
+  }
+
+  /**
+   * Creates a gateway in phase {@link Phase#STARTING}.
+   *
+   * @param unixTimeAtStart the Unix time, as a duration since 1970, at time zero of the event loop
+   * @param responseMemoryPolicy decides what may be held of the responses of servers
+   */
+  Gateway(
+      GatewayConfig config,
+      Transport transport,
+      Duration unixTimeAtStart,
+      ResponseMemoryPolicy responseMemoryPolicy) {
     this.config = config;
     this.transport = transport;
+    this.responseMemory = new ResponseMemory(responseMemoryPolicy);
     UnixTime unixTime = new UnixTime(unixTimeAtStart);
     // Three eighths of the descriptors each for clients and servers. The remaining quarter is for
     // the process itself and for connections accepted before another one is evicted for them.
@@ -186,6 +207,10 @@
     return serverConnections;
   }
 
+  ResponseMemory responseMemory() {
+    return responseMemory;
+  }
+
   DiscoveryWatcher discovery() {
     return discovery;
   }
@@ -325,6 +350,8 @@
         + serverConnections.describe()
         + "; "
         + router.describe(now)
+        + "; "
+        + responseMemory.describe()
         + (transport.describe().isEmpty() ? "" : "; " + transport.describe())
         + (extensions.isEmpty() ? "" : "; " + extensions.describe());
   }
--- a/gateway/src/main/java/weldcross/gateway/HealthCheckRunner.java
+++ b/gateway/src/main/java/weldcross/gateway/HealthCheckRunner.java
@@ -23,10 +23,14 @@
   private final GatewayConfig config;
   private final ServerReports reports;
 
+  /** Accounts for the responses to health checks, which no client waits for. */
+  private final ResponseMemory.ClientAccount memory;
+
   HealthCheckRunner(Gateway gateway, GatewayConfig config, ServerReports reports) {
     this.gateway = gateway;
     this.config = config;
     this.reports = reports;
+    this.memory = gateway.responseMemory().openAccount();
   }
 
   /** Sends one health check, whose result is reported to the router. */
@@ -63,6 +67,11 @@
       return null;
     }
 
+    @Override
+    ResponseMemory.ClientAccount responseMemory() {
+      return memory;
+    }
+
     @Override
     void completed(AttemptOutcome outcome, ServerResponse response) {
       gateway.router().healthCheckEnded(gateway.now(), server, outcome, connectedSince);
--- a/gateway/src/main/java/weldcross/gateway/JitWarmUp.java
+++ b/gateway/src/main/java/weldcross/gateway/JitWarmUp.java
@@ -12,6 +12,7 @@
 import weldcross.config.GatewayConfig;
 import weldcross.pgwire.ClientMessageDecoder;
 import weldcross.pgwire.MessageEncoder;
+import weldcross.pgwire.ResponseAccount;
 import weldcross.pgwire.ServerMessageDecoder;
 
 /**
@@ -91,6 +92,14 @@
     return now;
   }
 
+  @Override
+  public void expectResponse(long connection, ResponseAccount memory) {
+    ServerMessageDecoder server = servers.get(connection);
+    if (server != null) {
+      server.expectResponse(memory);
+    }
+  }
+
   @Override
   public boolean write(long connection, ByteBuffer... parts) {
     if (connection > 0) {
@@ -101,7 +110,6 @@
     if (server == null) {
       return true;
     }
-    server.expectResponse();
     server.feed(ByteBuffer.wrap(response(parts)));
     return true;
   }
--- a/gateway/src/main/java/weldcross/gateway/MinaTransport.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaTransport.java
@@ -16,6 +16,7 @@
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import weldcross.connections.CancellableConnector;
 import weldcross.connections.ClientMemoryPolicy;
+import weldcross.pgwire.ResponseAccount;
 
 /**
  * The transport based on Apache MINA. MINA's threads only decode received bytes and post the
@@ -256,6 +257,14 @@
 
   // ---- Connections
 
+  @Override
+  public void expectResponse(long connection, ResponseAccount memory) {
+    IoSession session = sessions.get(connection);
+    if (session != null) {
+      ((ServerStream) StreamHandler.streamOf(session)).expectResponse(memory);
+    }
+  }
+
   @Override
   public boolean write(long connection, ByteBuffer... parts) {
     IoSession session = sessions.get(connection);
@@ -263,7 +272,6 @@
       return false;
     }
     Stream stream = StreamHandler.streamOf(session);
-    stream.beforeWrite();
     // If no earlier write is pending, a direct write saves waking up the processor's thread.
     if (stream.pendingWrites.get() == 0 && GatheringIoProcessor.writeNow(session, parts)) {
       return true;
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -8,6 +8,8 @@
 import java.util.logging.Logger;
 import weldcross.config.GatewayConfig;
 import weldcross.pgwire.MessageEncoder;
+import weldcross.pgwire.ResponseAccount;
+import weldcross.pgwire.ServerResponse;
 import weldcross.pgwire.Statement;
 import weldcross.routing.GroupId;
 import weldcross.routing.NewRequest;
@@ -34,7 +36,7 @@
   private static final Duration MIN_TIME_SINCE_WRITE = Duration.ofNanos(1);
 
   /** Reason of a refusal for lack of memory. */
-  private static final String OUT_OF_MEMORY = "too much is held for clients";
+  static final String OUT_OF_MEMORY = "too much is held for clients";
 
   /** Refusals of queries that followed one another are written together, up to this number. */
   private static final int REFUSALS_PER_WRITE = 256;
@@ -226,7 +228,30 @@
 
   /** Sets the response of a request; it is written after the responses of all earlier requests. */
   void respond(PipelinedRequest request, ByteBuffer... response) {
-    request.response = response;
+    respond(request, ResponseAccount.UNLIMITED, response);
+  }
+
+  /**
+   * Returns whether the response to a request may be held until it can be written, that is, until
+   * those to all earlier requests of its client are.
+   */
+  boolean mayHold(PipelinedRequest request, ServerResponse response) {
+    ClientConnection client = request.client;
+    boolean nextInOrder = client.inFlight.peek() == request && !client.writing;
+    return nextInOrder || response.memory().admitWaiting();
+  }
+
+  /**
+   * Sets the response of a request; see the other method of this name.
+   *
+   * @param memory accounts for the response until it is written
+   */
+  void respond(PipelinedRequest request, ResponseAccount memory, ByteBuffer... response) {
+    if (request.client.closed) {
+      memory.release();
+      return;
+    }
+    request.setResponse(memory, response);
     writeResponses(request.client);
   }
 
@@ -236,14 +261,14 @@
    */
   private void writeResponses(ClientConnection client) {
     PipelinedRequest first = client.inFlight.peek();
-    if (client.writing || client.closed || first == null || first.response == null) {
+    if (client.writing || client.closed || first == null || !first.hasResponse()) {
       return;
     }
     List<ByteBuffer> parts = new ArrayList<>();
     for (PipelinedRequest request = first;
-        request != null && request.response != null;
+        request != null && request.hasResponse();
         request = client.inFlight.peek()) {
-      parts.addAll(List.of(request.response));
+      parts.addAll(List.of(request.takeResponse()));
       client.inFlight.poll();
     }
     client.writing = true;
@@ -259,6 +284,7 @@
       return;
     }
     client.writing = false;
+    client.releaseUnwritten();
     client.idleSince = gateway.now();
     startNext(client);
     GracefulShutdown shutdown = gateway.shutdown();
--- a/gateway/src/main/java/weldcross/gateway/ServerConnectionPool.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerConnectionPool.java
@@ -279,12 +279,14 @@
   void responseReceived(long number, ServerResponse response, boolean hasTrailingBytes) {
     ServerConnection connection = connections.get(number);
     if (connection == null || connection.request == null) {
+      response.release();
       return;
     }
     ServerRequest request = connection.request;
     connection.step++;
     connection.responseStarted = false;
     if (response.sqlState() == null && !response.isComplete(request.commandTag())) {
+      response.release();
       protocolError(number, "command tag does not match the statement");
       return;
     }
@@ -299,6 +301,7 @@
       release(connection);
     }
     complete(request, outcomeOf(response), response);
+    response.release();
   }
 
   /** Handles the first part of a response, whose rest must arrive before the connect timeout. */
@@ -335,6 +338,13 @@
    *     not established
    */
   void closed(long number, ServerResponse partialResponse) {
+    completeClosed(number, partialResponse);
+    if (partialResponse != null) {
+      partialResponse.release();
+    }
+  }
+
+  private void completeClosed(long number, ServerResponse partialResponse) {
     ServerConnection connection = connections.remove(number);
     if (connection == null) {
       return;
@@ -352,6 +362,7 @@
       return;
     }
     request.connection = null;
+    connection.request = null;
     boolean answered =
         partialResponse != null
             && (partialResponse.isComplete(request.commandTag())
@@ -411,6 +422,8 @@
    * the server executed would count as not sent and be sent again.
    */
   private void write(ServerConnection connection, ByteBuffer... parts) {
+    transport.expectResponse(
+        connection.number, connection.request.responseMemory().expectResponse());
     if (transport.write(connection.number, parts)) {
       allMessagesSent(connection);
     } else {
--- a/gateway/src/main/java/weldcross/gateway/ServerRequest.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerRequest.java
@@ -38,8 +38,12 @@
   /** Returns the tag expected in CommandComplete; null to accept any. */
   abstract String commandTag();
 
+  /** Returns the account of the client for whom the response is held. */
+  abstract ResponseMemory.ClientAccount responseMemory();
+
   /**
-   * Called once, when the request ends.
+   * Called once, when the request ends. Whoever keeps the response longer than this call takes its
+   * memory ({@link ServerResponse#takeMemory}).
    *
    * @param outcome how it ended
    * @param response the response of the server; null if there is none that can be used
--- a/gateway/src/main/java/weldcross/gateway/ServerStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerStream.java
@@ -1,6 +1,7 @@
 package weldcross.gateway;
 
 import java.nio.ByteBuffer;
+import weldcross.pgwire.ResponseAccount;
 import weldcross.pgwire.ServerMessageDecoder;
 
 /** Handles a connection to a server and posts its events to {@link ServerConnectionPool}. */
@@ -30,9 +31,9 @@
     batch.addForServer(gateway -> gateway.serverConnections().connected(number));
   }
 
-  @Override
-  void beforeWrite() {
-    decoder.expectResponse();
+  /** Allows one response; called before each write, by the thread that requests it. */
+  void expectResponse(ResponseAccount memory) {
+    decoder.expectResponse(memory);
   }
 
   @Override
--- a/gateway/src/main/java/weldcross/gateway/Stream.java
+++ b/gateway/src/main/java/weldcross/gateway/Stream.java
@@ -34,9 +34,6 @@
    */
   abstract void read(ByteBuffer in) throws HttpResponseDecoder.ProtocolException;
 
-  /** Called before each write, by the thread that requests it. */
-  void beforeWrite() {}
-
   /** Called when a write that could not be completed immediately is completed. */
   void written() {}
 
--- a/gateway/src/main/java/weldcross/gateway/Transport.java
+++ b/gateway/src/main/java/weldcross/gateway/Transport.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import weldcross.pgwire.ResponseAccount;
 
 /**
  * The I/O that a gateway's event loop requests. No call blocks; results are posted as events. A
@@ -55,6 +56,13 @@
   /** Connects to discovery; the connection gets the given number. */
   void connectToDiscovery(long connection, InetSocketAddress address);
 
+  /**
+   * Allows one response of a server; must be called before each message that is written to it.
+   *
+   * @param memory accounts for the response
+   */
+  void expectResponse(long connection, ResponseAccount memory);
+
   /**
    * Writes the parts as one message without copying them; they must not change afterwards.
    *
--- a/gateway/src/main/java/weldcross/pgwire/ClientMessageDecoder.java
+++ b/gateway/src/main/java/weldcross/pgwire/ClientMessageDecoder.java
@@ -197,25 +197,12 @@
       return;
     }
     try {
-      sink.statementReceived(Statement.parse(withoutUnusedBytes(message)));
+      sink.statementReceived(Statement.parse(FrameDecoder.compact(message, MAX_UNUSED_BYTES)));
     } catch (ProtocolException e) {
       sink.statementRejected(e.sqlState(), e.getMessage());
     }
   }
 
-  /** Returns a message in a buffer of which it is the greater part, as the buffer is kept. */
-  private static ByteBuffer withoutUnusedBytes(ByteBuffer message) {
-    if (!message.hasArray()) {
-      return message;
-    }
-    int before = message.arrayOffset();
-    int after = message.array().length - before - message.limit();
-    if (before + after <= MAX_UNUSED_BYTES) {
-      return message;
-    }
-    return ByteBuffer.allocate(message.limit()).put(message.duplicate()).flip();
-  }
-
   private void terminate() {
     ended = true;
     sink.terminated();
--- a/gateway/src/main/java/weldcross/pgwire/FrameDecoder.java
+++ b/gateway/src/main/java/weldcross/pgwire/FrameDecoder.java
@@ -121,6 +121,25 @@
     }
   }
 
+  /**
+   * Returns a message in a buffer of its own size, for messages that are kept, as a slice would
+   * keep the buffer in which it was read.
+   *
+   * @param maxUnusedBytes how much larger the buffer of the message may be, so that it is not
+   *     copied
+   */
+  static ByteBuffer compact(ByteBuffer message, int maxUnusedBytes) {
+    if (!message.hasArray()) {
+      return message;
+    }
+    int before = message.arrayOffset();
+    int after = message.array().length - before - message.limit();
+    if (before + after <= maxUnusedBytes) {
+      return message;
+    }
+    return ByteBuffer.allocate(message.limit()).put(message.duplicate()).flip();
+  }
+
   /** Returns whether a part of a message was received, but not all of it. */
   public boolean isInMessage() {
     return partial != null || header.position() > 0 || remainingDiscard > 0;
--- a/gateway/src/main/java/weldcross/pgwire/ServerMessageDecoder.java
+++ b/gateway/src/main/java/weldcross/pgwire/ServerMessageDecoder.java
@@ -38,15 +38,22 @@
 
   private final FrameDecoder frames = new FrameDecoder(false);
   private final Sink sink;
-  private ServerResponse response = new ServerResponse();
+  private ServerResponse response = new ServerResponse(ResponseAccount.UNLIMITED);
   private boolean sessionStarted;
   private boolean readyPending;
   private boolean responseStarted;
+
+  /** Whether {@link #response} has the account of the expected response. */
+  private boolean memoryAssigned;
+
   private boolean unusable;
 
   /** The response that was completed by the current call; null if there is none. */
   private ServerResponse completeResponse;
 
+  /** The account of the next response; published by {@link #responseExpected}. */
+  private ResponseAccount expectedMemory = ResponseAccount.UNLIMITED;
+
   /** Set by the thread that writes requests, cleared by the thread that calls {@link #feed}. */
   private volatile boolean responseExpected;
 
@@ -55,8 +62,18 @@
     this.sink = sink;
   }
 
-  /** Allows one response. Must be called before a request or the startup message is written. */
+  /** Allows one response, whose memory is not limited; see the other method of this name. */
   public void expectResponse() {
+    expectResponse(ResponseAccount.UNLIMITED);
+  }
+
+  /**
+   * Allows one response. Must be called before a request or the startup message is written.
+   *
+   * @param memory accounts for the response; released by {@link ServerResponse#release}
+   */
+  public void expectResponse(ResponseAccount memory) {
+    expectedMemory = memory;
     responseExpected = true;
   }
 
@@ -101,7 +118,7 @@
 
   /** Returns the part of a response received when the stream ended; empty if it is unusable. */
   public ServerResponse partialResponse() {
-    return unusable || frames.isInMessage() ? new ServerResponse() : response;
+    return unusable || frames.isInMessage() ? response.withoutMessages() : response;
   }
 
   @Override
@@ -113,6 +130,20 @@
     ServerResponse.checkHeader(type, length);
   }
 
+  @Override
+  public boolean admit(byte type, int size) {
+    if (!memoryAssigned) {
+      memoryAssigned = true;
+      response = new ServerResponse(expectedMemory);
+    }
+    return response.admit(type, size);
+  }
+
+  @Override
+  public void discarded(byte type) throws ProtocolException {
+    response.discardRow();
+  }
+
   @Override
   public void partialMessage(ByteBuffer partial) throws ProtocolException {
     if (partial.get(0) == 'D' && partial.position() >= ServerResponse.ROW_HEADER_SIZE) {
@@ -129,10 +160,13 @@
       sessionStarted = true;
       readyPending = true;
       responseExpected = false;
+      memoryAssigned = false;
+      response.release();
     } else if (response.add(type, message)) {
       responseExpected = false;
       completeResponse = response;
-      response = new ServerResponse();
+      response = new ServerResponse(ResponseAccount.UNLIMITED);
+      memoryAssigned = false;
     }
   }
 }
--- a/gateway/src/main/java/weldcross/pgwire/ServerResponse.java
+++ b/gateway/src/main/java/weldcross/pgwire/ServerResponse.java
@@ -27,6 +27,12 @@
   private static final int SQL_STATE_LENGTH = 5;
   private static final int MAX_POSITION_DIGITS = 15;
 
+  /** Accounts for the messages that are kept. */
+  private ResponseAccount memory;
+
+  /** Whether a row was received that was not kept, for lack of memory. */
+  private boolean rowDiscarded;
+
   private ByteBuffer rowDescription;
   private ByteBuffer row;
   private ByteBuffer commandComplete;
@@ -35,8 +41,64 @@
   private long positionMillis;
   private String loadReport;
 
-  /** Creates an empty response. */
-  ServerResponse() {}
+  /**
+   * Creates an empty response.
+   *
+   * @param memory accounts for the messages that are kept
+   */
+  ServerResponse(ResponseAccount memory) {
+    this.memory = memory;
+  }
+
+  /** Returns an empty response that takes over the memory of this one. */
+  ServerResponse withoutMessages() {
+    return new ServerResponse(takeMemory());
+  }
+
+  /**
+   * Returns whether a message is to be kept, or read and dropped, rather than discarded as it
+   * arrives.
+   */
+  boolean admit(byte type, int size) {
+    switch (type) {
+      case 'T', 'C' -> memory.add(size);
+      case 'D' -> {
+        return memory.admitRow(size);
+      }
+      default -> {
+        // Other messages are not kept.
+      }
+    }
+    return true;
+  }
+
+  /** Records a row that was not admitted. */
+  void discardRow() throws ProtocolException {
+    requireRowExpected();
+    rowDiscarded = true;
+  }
+
+  /** Returns whether the server sent a row that was not kept, for lack of memory. */
+  public boolean isRowDiscarded() {
+    return rowDiscarded;
+  }
+
+  /** Returns the account of the response. */
+  public ResponseAccount memory() {
+    return memory;
+  }
+
+  /** Passes the memory of the response, and the duty to release it, to the caller. */
+  public ResponseAccount takeMemory() {
+    ResponseAccount taken = memory;
+    memory = ResponseAccount.UNLIMITED;
+    return taken;
+  }
+
+  /** Gives back the memory of the response, unless it was taken. */
+  public void release() {
+    memory.release();
+  }
 
   /**
    * Rejects a header that is invalid in a response or at the start of a session, as a wrong length
@@ -78,16 +140,17 @@
       case 'T' -> {
         requireOrder(type, rowDescription == null && sqlState == null);
         checkRowDescription(message);
-        rowDescription = message;
+        rowDescription = FrameDecoder.compact(message, 0);
       }
       case 'D' -> {
-        requireOrder(type, rowDescription != null && row == null && sqlState == null);
+        requireRowExpected();
         checkRow(message, message.limit());
-        row = message;
+        row = FrameDecoder.compact(message, 0);
       }
       case 'C' -> {
-        requireOrder(type, row != null && commandComplete == null && sqlState == null);
-        commandComplete = message;
+        boolean rowReceived = row != null || rowDiscarded;
+        requireOrder(type, rowReceived && commandComplete == null && sqlState == null);
+        commandComplete = FrameDecoder.compact(message, 0);
       }
       case 'E' -> {
         requireOrder(type, sqlState == null);
@@ -107,6 +170,11 @@
     return false;
   }
 
+  private void requireRowExpected() throws ProtocolException {
+    boolean first = row == null && !rowDiscarded;
+    requireOrder((byte) 'D', rowDescription != null && first && sqlState == null);
+  }
+
   private static void requireOrder(byte type, boolean inOrder) throws ProtocolException {
     if (!inOrder) {
       throw violation("message of type " + describe(type) + " in unexpected order from a server");
@@ -144,7 +212,8 @@
 
   /**
    * Returns the messages for the client: the row description, the row and CommandComplete
-   * unchanged, then ReadyForQuery. Must be called only if {@link #isComplete}.
+   * unchanged, then ReadyForQuery. Must be called only if {@link #isComplete} and not {@link
+   * #isRowDiscarded}.
    */
   public ByteBuffer[] toClientMessages() {
     return new ByteBuffer[] {rowDescription, row, commandComplete, MessageEncoder.readyForQuery()};
--- a/gateway/src/test/java/weldcross/gateway/FakeTransport.java
+++ b/gateway/src/test/java/weldcross/gateway/FakeTransport.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import weldcross.pgwire.ResponseAccount;
 
 /**
  * In-memory transport. Records the calls of a gateway, has a {@link RequestHistory} check the
@@ -134,6 +135,11 @@
     connections.get(number).discoveryPort = to.getPort();
   }
 
+  @Override
+  public void expectResponse(long number, ResponseAccount memory) {
+    connections.get(number).serverDecoder.expectResponse(memory);
+  }
+
   @Override
   public boolean write(long number, ByteBuffer... parts) {
     FakeConnection connection = connections.get(number);
@@ -152,10 +158,8 @@
     if (number > 0 || connection.discoveryPort != 0) {
       connection.received.append(text);
     } else if (text.startsWith("Q")) {
-      connection.serverDecoder.expectResponse();
       recordStatement(number, connection, text.substring(HEADER_BYTES));
     } else {
-      connection.serverDecoder.expectResponse();
       connection.serverDecoder.feed(ByteBuffer.wrap(message('Z', "I")));
     }
     return writesCompleteImmediately;
--- /dev/null
+++ b/gateway/src/test/java/weldcross/gateway/HeldResponsesTest.java
@@ -0,0 +1,114 @@
+package weldcross.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import weldcross.gateway.LoopbackFakes.Client;
+import weldcross.gateway.LoopbackFakes.Primary;
+import weldcross.pgwire.MessageEncoder;
+
+/** Responses with long values that a gateway process with a small heap holds. */
+@Timeout(120)
+class HeldResponsesTest {
+
+  private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
+
+  /** Clients that together have far more answers waiting than the heap can hold. */
+  private static final int PIPELINING_CLIENTS = 120;
+
+  private static final int READS_PER_CLIENT = 15;
+
+  /** The longest value, in bytes. */
+  private static final int VALUE_BYTES = 65_536;
+
+  private final LoopbackFakes fakes = new LoopbackFakes();
+  private Primary writePrimary;
+  private Primary readPrimary;
+  private SmallHeapGateway gateway;
+
+  @BeforeEach
+  void start(@TempDir Path directory) throws IOException {
+    writePrimary = new Primary();
+    readPrimary = new Primary();
+    readPrimary.rows.put("k", "v".repeat(VALUE_BYTES));
+    gateway =
+        new SmallHeapGateway(
+            directory, LoopbackFakes.configJson(fakes.discovery(writePrimary, readPrimary)));
+    gateway.awaitReady();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    writePrimary.writeLatch.countDown();
+    gateway.close();
+    fakes.close();
+  }
+
+  /**
+   * Guards against a process that ends for lack of heap while one server hangs and long answers
+   * wait behind the requests to it: every request is answered, and the process runs on.
+   */
+  @Test
+  void answersThatWaitBehindHangingWritesDoNotExhaustTheHeap() throws IOException {
+    writePrimary.writeLatch = new CountDownLatch(1);
+    List<Socket> clients = new ArrayList<>();
+    for (int index = 0; index < PIPELINING_CLIENTS; index++) {
+      Socket client = gateway.connect();
+      client.setSoTimeout(CLIENT_TIMEOUT_MILLIS);
+      client.getOutputStream().write(writeAndReads("p" + index + "x"));
+      clients.add(client);
+    }
+    try (Client usual = new Client(gateway.address)) {
+      List<String> answer = usual.query(read("usual"));
+      assertEquals("T", answer.get(0).substring(0, 1), "others are served, got " + answer.get(0));
+    }
+    writePrimary.writeLatch.countDown();
+    int answered = 0;
+    for (Socket client : clients) {
+      DataInputStream in = new DataInputStream(client.getInputStream());
+      for (int request = 0; request <= READS_PER_CLIENT; request++) {
+        SmallHeapGateway.readResponse(in);
+        answered++;
+      }
+      client.close();
+    }
+    assertEquals(PIPELINING_CLIENTS * (1 + READS_PER_CLIENT), answered);
+    assertTrue(gateway.isRunning(), "the gateway process runs on");
+  }
+
+  private static byte[] writeAndReads(String idPrefix) {
+    StringBuilder messages = new StringBuilder();
+    messages.append(
+        text(
+            "INSERT INTO kv (name, content) VALUES ('w', '\\x00') RETURNING content /* id="
+                + idPrefix
+                + "w,c=entry-write,d=20000,cluster=0 */"));
+    for (int index = 0; index < READS_PER_CLIENT; index++) {
+      messages.append(text(read(idPrefix + index)));
+    }
+    return messages.toString().getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private static String read(String id) {
+    return "SELECT content FROM kv WHERE name = 'k' /* id="
+        + id
+        + ",c=entry-read,d=20000,cluster=1 */";
+  }
+
+  private static String text(String query) {
+    return StandardCharsets.ISO_8859_1.decode(MessageEncoder.query(query)).toString();
+  }
+}
--- a/gateway/src/test/java/weldcross/gateway/LoopbackFakes.java
+++ b/gateway/src/test/java/weldcross/gateway/LoopbackFakes.java
@@ -110,16 +110,27 @@
     }
   }
 
-  /** A discovery whose endpoint list contains one primary and never changes. */
+  /** A discovery whose endpoint list contains one primary per group and never changes. */
   static final class Discovery extends FakeListener {
     private final String endpointList;
 
-    Discovery(Primary primary) throws IOException {
+    Discovery(Primary... primaries) throws IOException {
+      List<String> members = new ArrayList<>();
+      for (Primary primary : primaries) {
+        members.add(member(members.size(), primary));
+      }
       endpointList =
-          "{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-0\","
-              + "\"host_port\":\"127.0.0.1:"
-              + primary.socket.getLocalPort()
-              + "\",\"locality\":\"a\",\"cell\":0,\"phase\":\"active\"}]}";
+          "{\"revision\":7,\"complete\":true,\"members\":[" + String.join(",", members) + "]}";
+    }
+
+    private static String member(int group, Primary primary) {
+      return "{\"id\":\"s-"
+          + group
+          + "\",\"host_port\":\"127.0.0.1:"
+          + primary.socket.getLocalPort()
+          + "\",\"locality\":\"a\",\"cell\":"
+          + group
+          + ",\"phase\":\"active\"}";
     }
 
     @Override
@@ -194,10 +205,11 @@
     }
   }
 
-  /** Creates a discovery that lists a primary; {@link #close} closes both. */
-  Discovery discovery(Primary primary) throws IOException {
-    Discovery discovery = new Discovery(primary);
-    listeners.addAll(List.of(primary, discovery));
+  /** Creates a discovery that lists primaries, one per group; {@link #close} closes them all. */
+  Discovery discovery(Primary... primaries) throws IOException {
+    Discovery discovery = new Discovery(primaries);
+    listeners.addAll(List.of(primaries));
+    listeners.add(discovery);
     return discovery;
   }
 
--- a/gateway/src/test/java/weldcross/pgwire/ServerMessageDecoderTest.java
+++ b/gateway/src/test/java/weldcross/pgwire/ServerMessageDecoderTest.java
@@ -217,4 +217,49 @@
       assertEquals(List.of("ready", "true null v false 0"), sink.events, parameter);
     }
   }
+
+  /** Records what is accounted for, and admits no row. */
+  private static final class NoRows implements ResponseAccount {
+    int addedBytes;
+
+    @Override
+    public void add(int bytes) {
+      addedBytes += bytes;
+    }
+
+    @Override
+    public boolean admitRow(int bytes) {
+      return false;
+    }
+
+    @Override
+    public boolean admitWaiting() {
+      return false;
+    }
+
+    @Override
+    public void stopWaiting() {}
+
+    @Override
+    public void release() {
+      addedBytes = 0;
+    }
+  }
+
+  /** A row that may not be held is discarded, and the connection can be used for the next one. */
+  @Test
+  void rowThatIsNotAdmittedIsDiscarded() {
+    byte[] response = readResponse("v".repeat(200));
+    RecordingSink sink = RecordingSink.receiving(response, new SplittableRandom(1));
+    NoRows memory = new NoRows();
+    sink.decoder.expectResponse(memory);
+    fragments(response, new SplittableRandom(2)).forEach(sink.decoder::feed);
+    ServerResponse discarded = sink.responses.get(1);
+    assertTrue(discarded.isRowDiscarded() && discarded.isComplete("SELECT 1"));
+    assertTrue(memory.addedBytes > 0 && memory.addedBytes < 100, memory.addedBytes + " bytes");
+    discarded.release();
+    assertEquals(0, memory.addedBytes);
+    sink.receive(response, new SplittableRandom(3));
+    assertEquals("v".repeat(200), sink.responses.get(2).rowText());
+  }
 }
