Cancel the timers of what has ended, which kept answers and requests in memory

Cause: an attempt's deadline timer kept the attempt, its request and the written response for up to 5 s; the router's timers kept a request's state and key for the client's whole timeout. Histograms 0.6 s apart: 62, 87, 91, 97 MB, with 325 to 488 RequestState and some twenty requests in flight.

Change: timers can be cancelled, which removes them with all they refer to, and are when the attempt, request, step or connection ends. TimerQueue moves to routing and serves the router, too, whose own copy of it goes.

--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -12,6 +12,7 @@
 import weldcross.routing.AttemptResult;
 import weldcross.routing.RequestId;
 import weldcross.routing.ServerId;
+import weldcross.routing.Timer;
 
 /**
  * Tracks the requests being routed and their attempts. Carries out the decisions of the router:
@@ -111,13 +112,9 @@
       return;
     }
     gateway.serverConnections().send(server, attempt);
-    gateway.schedule(
-        deadline,
-        () -> {
-          if (!attempt.done) {
-            gateway.serverConnections().abort(attempt, AttemptOutcome.TIMED_OUT);
-          }
-        });
+    attempt.deadlineTimer =
+        gateway.schedule(
+            deadline, () -> gateway.serverConnections().abort(attempt, AttemptOutcome.TIMED_OUT));
   }
 
   /** Cancels an attempt; does nothing if it has ended. */
@@ -231,6 +228,7 @@
     private final ServerId server;
     private final Duration sentAt = gateway.now();
     private final Duration deadline;
+    private Timer deadlineTimer = Timer.NONE;
 
     private Attempt(RoutedRequest request, ServerId server, Duration deadline) {
       this.request = request;
@@ -278,6 +276,7 @@
 
     @Override
     void completed(AttemptOutcome outcome, ServerResponse response) {
+      deadlineTimer.cancel();
       request.openAttempts--;
       request.mayHaveExecuted |= !outcome.provesNotExecuted();
       Duration took = gateway.now().minus(sentAt);
--- a/gateway/src/main/java/weldcross/gateway/ClientConnection.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import weldcross.pgwire.ResponseAccount;
+import weldcross.routing.Timer;
 
 /**
  * The state of one client connection. Its requests run concurrently, and its responses are written
@@ -36,6 +37,15 @@
   /** Whether the connection accepts no more requests and responses. */
   boolean closed;
 
+  /** The timer of the time within which the first statement must come. */
+  Timer firstStatementTimer = Timer.NONE;
+
+  /** The timer of the time within which the message that has begun must end. */
+  Timer messageTimer = Timer.NONE;
+
+  /** The timer that closes the connection once it is half-closed. */
+  Timer lingerTimer = Timer.NONE;
+
   /** Whether a close was requested that takes effect only if nothing more has been received. */
   boolean closePending;
 
@@ -75,6 +85,12 @@
     unwritten.clear();
   }
 
+  /** Cancels the timers of the open connection. */
+  void cancelTimers() {
+    firstStatementTimer.cancel();
+    messageTimer.cancel();
+  }
+
   /** Records that the start of a message, but not all of it, has been received. */
   void messageStarted() {
     messagesBeforePartial = messages;
--- a/gateway/src/main/java/weldcross/gateway/ClientConnections.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnections.java
@@ -93,13 +93,15 @@
   /** Closes a connection whose client sends no statement within the message timeout. */
   private void startFirstStatementTimeout(ClientConnection client) {
     if (client.statements == 0) {
-      gateway.schedule(
-          gateway.now().plus(messageTimeout),
-          () -> {
-            if (client.statements == 0 && !client.closed) {
-              closeIfQuiet(client);
-            }
-          });
+      client.firstStatementTimer.cancel();
+      client.firstStatementTimer =
+          gateway.schedule(
+              gateway.now().plus(messageTimeout),
+              () -> {
+                if (client.statements == 0) {
+                  closeIfQuiet(client);
+                }
+              });
     }
   }
 
@@ -136,21 +138,22 @@
 
   /**
    * Starts the timeout for the rest of a partially received message. It runs only while the gateway
-   * reads from the connection. Reading resumes before the message can be completed, so each message
-   * needs only one timer.
+   * reads from the connection.
    */
   private void startMessageTimeout(ClientConnection client) {
     if (client.readPaused || !client.hasPartialMessage()) {
       return;
     }
     int messages = client.messages;
-    gateway.schedule(
-        gateway.now().plus(messageTimeout),
-        () -> {
-          if (!client.closed && client.messages == messages) {
-            transport.checkMessageIncomplete(client.id, messages);
-          }
-        });
+    client.messageTimer.cancel();
+    client.messageTimer =
+        gateway.schedule(
+            gateway.now().plus(messageTimeout),
+            () -> {
+              if (client.messages == messages) {
+                transport.checkMessageIncomplete(client.id, messages);
+              }
+            });
   }
 
   /**
@@ -278,13 +281,14 @@
   /** Closes a half-closed connection after the connect timeout, unless its client does earlier. */
   private void linger(ClientConnection client) {
     lingering.put(client.id, client);
-    gateway.schedule(
-        gateway.now().plus(connectTimeout),
-        () -> {
-          transport.closeNow(client.id);
-          stopLingering(client.id);
-          gateway.shutdown().stopIfDone();
-        });
+    client.lingerTimer =
+        gateway.schedule(
+            gateway.now().plus(connectTimeout),
+            () -> {
+              transport.closeNow(client.id);
+              stopLingering(client.id);
+              gateway.shutdown().stopIfDone();
+            });
   }
 
   /** Returns whether the connection was lingering; what it had not read is dropped. */
@@ -293,6 +297,7 @@
     if (client == null) {
       return false;
     }
+    client.lingerTimer.cancel();
     client.releaseUnwritten();
     return true;
   }
@@ -302,6 +307,7 @@
     closePending -= client.closePending ? 1 : 0;
     client.closePending = false;
     client.closed = true;
+    client.cancelTimers();
     client.waiting.clear();
   }
 
--- a/gateway/src/main/java/weldcross/gateway/EventLoop.java
+++ b/gateway/src/main/java/weldcross/gateway/EventLoop.java
@@ -87,7 +87,7 @@
   private void runDueTimers(Gateway gateway) {
     Duration dueBy = clock.get();
     Duration now = dueBy;
-    while (gateway.runNextDueTimers(dueBy, now)) {
+    while (gateway.runNextDueTimer(dueBy, now)) {
       now = clock.get();
     }
   }
--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -16,6 +16,8 @@
 import weldcross.routing.Router;
 import weldcross.routing.RouterActions;
 import weldcross.routing.ServerId;
+import weldcross.routing.Timer;
+import weldcross.routing.TimerQueue;
 
 /**
  * Owns the state of a gateway. All changes are events that {@link #handle} applies on the event
@@ -52,7 +54,10 @@
 
   private final GatewayConfig config;
   private final Transport transport;
-  private final TimerQueue timers = new TimerQueue();
+  private final TimerQueue<Runnable> timers = new TimerQueue<>();
+
+  /** The wake-up that the router requested last. */
+  private Timer routerWakeUp = Timer.NONE;
 
   /** Tasks to run at the end of the current event or timer. */
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
@@ -139,28 +144,26 @@
   void runDueTimers(Duration time) {
     boolean more = true;
     while (more) {
-      more = runNextDueTimers(time, time);
+      more = runNextDueTimer(time, time);
     }
   }
 
   /**
-   * Runs the timers of the earliest due time, if that is not after {@code dueBy}. The caller reads
-   * the clock again for each due time; otherwise, after slow timers, the last ones would act on an
-   * outdated time.
+   * Runs the next timer, if its due time is not after {@code dueBy}. The caller reads the clock
+   * again for each timer; otherwise, after slow timers, the last ones would act on an outdated
+   * time.
    *
    * @param time the current time
    * @return whether any timer was due
    */
-  boolean runNextDueTimers(Duration dueBy, Duration time) {
-    List<Runnable> due = timers.pollDue(dueBy);
-    if (due == null) {
+  boolean runNextDueTimer(Duration dueBy, Duration time) {
+    Runnable timer = timers.pollDue(dueBy);
+    if (timer == null) {
       return false;
     }
     advanceTo(time);
-    for (Runnable timer : due) {
-      timer.run();
-      runDeferred();
-    }
+    timer.run();
+    runDeferred();
     return true;
   }
 
@@ -185,8 +188,8 @@
   }
 
   /** Schedules a timer. If its due time has passed, it runs with the next timers. */
-  void schedule(Duration dueTime, Runnable timer) {
-    timers.add(dueTime, timer);
+  Timer schedule(Duration dueTime, Runnable timer) {
+    return timers.add(dueTime, timer);
   }
 
   /** Runs a task at the end of the current event or timer, after the current call has returned. */
@@ -443,6 +446,8 @@
 
   @Override
   public void scheduleTimer(Duration when) {
-    schedule(when, () -> router.timersDue(now));
+    // The router ignores a wake-up that a later request has superseded.
+    routerWakeUp.cancel();
+    routerWakeUp = schedule(when, () -> router.timersDue(now));
   }
 }
--- a/gateway/src/main/java/weldcross/gateway/ServerConnection.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import weldcross.routing.ServerId;
+import weldcross.routing.Timer;
 
 /** State of one connection to a server; owned by {@link ServerConnectionPool}. */
 final class ServerConnection {
@@ -26,9 +27,15 @@
   /** Number of messages that have not been reported as completely sent. */
   int unsentMessages;
 
-  /** Number of the current step; a timeout that was started in an earlier step has no effect. */
+  /** Number of the current step, which changes with each {@link #beginStep}. */
   int step;
 
+  /** The timer of the step's timeout, after which pending reads may still complete the step. */
+  private Timer timeout = Timer.NONE;
+
+  /** The timer of the time after which the step has failed in any case. */
+  private Timer finalTimeout = Timer.NONE;
+
   /** The step that has timed out unless pending reads complete it; -1 if there is none. */
   int overdueStep = -1;
 
@@ -46,4 +53,22 @@
     this.server = server;
     this.address = address;
   }
+
+  /** Begins the next step of the session, without a timeout. */
+  void beginStep() {
+    step++;
+    cancelTimeouts();
+  }
+
+  /** Sets the timers of the current step, which its end cancels. */
+  void setTimeouts(Timer timeout, Timer finalTimeout) {
+    this.timeout = timeout;
+    this.finalTimeout = finalTimeout;
+  }
+
+  /** Cancels the timers of the current step; called when the connection has ended. */
+  void cancelTimeouts() {
+    timeout.cancel();
+    finalTimeout.cancel();
+  }
 }
--- a/gateway/src/main/java/weldcross/gateway/ServerConnectionPool.java
+++ b/gateway/src/main/java/weldcross/gateway/ServerConnectionPool.java
@@ -177,17 +177,18 @@
    * delay for unresponsive servers. It fails in any case after twice the timeout.
    */
   private void startTimeout(ServerConnection connection) {
-    int step = ++connection.step;
-    gateway.schedule(
-        gateway.now().plus(connectTimeout),
-        () -> {
-          if (connection.step == step) {
-            connection.overdueStep = step;
-            transport.afterPendingReads(connection.number);
-          }
-        });
-    gateway.schedule(
-        gateway.now().plus(connectTimeout.multipliedBy(2)), () -> timedOut(connection, step));
+    connection.beginStep();
+    int step = connection.step;
+    Duration now = gateway.now();
+    connection.setTimeouts(
+        gateway.schedule(
+            now.plus(connectTimeout),
+            () -> {
+              connection.overdueStep = step;
+              transport.afterPendingReads(connection.number);
+            }),
+        gateway.schedule(
+            now.plus(connectTimeout.multipliedBy(2)), () -> timedOut(connection, step)));
   }
 
   /**
@@ -222,7 +223,7 @@
   void connected(long number) {
     ServerConnection connection = connections.get(number);
     if (connection != null) {
-      connection.step++;
+      connection.beginStep();
       connection.accepted = true;
       write(connection, MessageEncoder.startup());
     } else {
@@ -240,7 +241,7 @@
     if (connection == null) {
       return;
     }
-    connection.step++;
+    connection.beginStep();
     connection.sessionReady = true;
     connection.readySince = gateway.now();
     ServerRequest request = connection.request;
@@ -283,7 +284,7 @@
       return;
     }
     ServerRequest request = connection.request;
-    connection.step++;
+    connection.beginStep();
     connection.responseStarted = false;
     if (response.sqlState() == null && !response.isComplete(request.commandTag())) {
       response.release();
@@ -349,6 +350,7 @@
     if (connection == null) {
       return;
     }
+    connection.cancelTimeouts();
     idle.remove(connection);
     if (!connection.sessionReady) {
       gateway.warn(
@@ -463,6 +465,7 @@
 
   private void close(ServerConnection connection) {
     connections.remove(connection.number);
+    connection.cancelTimeouts();
     idle.remove(connection);
     if (connection.request != null) {
       connection.request.connection = null;
--- a/gateway/src/main/java/weldcross/routing/RequestState.java
+++ b/gateway/src/main/java/weldcross/routing/RequestState.java
@@ -68,6 +68,15 @@
   /** Endpoints that the request was sent to and is not sent to again until this is cleared. */
   final Set<EndpointState> triedEndpoints = new LinkedHashSet<>();
 
+  /** The timer that gives the request up if no attempt was sent. */
+  Timer firstSendTimer = Timer.NONE;
+
+  /** The timer that gives the request up if it is not answered. */
+  Timer sendDeadlineTimer = Timer.NONE;
+
+  /** Per attempt number, the timer that checks whether the attempt is overdue. */
+  final List<Timer> overdueTimers = new ArrayList<>(1);
+
   int attemptsInFlight;
   boolean mayHaveExecuted;
   boolean finished;
--- a/gateway/src/main/java/weldcross/routing/Router.java
+++ b/gateway/src/main/java/weldcross/routing/Router.java
@@ -134,12 +134,15 @@
             now.plus(arrival.timeout()),
             random.nextDouble());
     requests.put(request.id, request);
-    timers.schedule(request.firstSendDeadline, at -> giveUpIf(request, request.attempts.isEmpty()));
+    request.firstSendTimer =
+        timers.schedule(
+            request.firstSendDeadline, at -> giveUpIf(request, request.attempts.isEmpty()));
     // An idempotent request is given up even with an attempt in flight, as its client can safely
     // retry it. Any other one waits for the attempt, without which its outcome would be unknown.
-    timers.schedule(
-        request.sendDeadline,
-        at -> giveUpIf(request, request.attemptsInFlight == 0 || request.isIdempotent()));
+    request.sendDeadlineTimer =
+        timers.schedule(
+            request.sendDeadline,
+            at -> giveUpIf(request, request.attemptsInFlight == 0 || request.isIdempotent()));
     route(now, request);
   }
 
@@ -202,6 +205,7 @@
   private static void removeFromFlight(Attempt attempt, AttemptOutcome outcome) {
     RequestState request = attempt.request();
     request.attemptsInFlight--;
+    request.overdueTimers.get(attempt.number()).cancel();
     request.mayHaveExecuted |= !outcome.provesNotExecuted();
     attempt.endpoint().inFlight.remove(attempt);
     attempt.endpoint().readsInFlight -= request.isWrite() ? 0 : 1;
@@ -326,6 +330,8 @@
             latency.typicalSeconds(request.classIndex),
             inSlowStart);
     request.attempts.add(attempt);
+    request.overdueTimers.add(Timer.NONE);
+    request.firstSendTimer.cancel();
     request.attemptsInFlight++;
     request.triedEndpoints.add(endpoint);
     endpoint.inFlight.add(attempt);
@@ -335,7 +341,12 @@
     }
     outliers.recordSend(now, endpoint);
     actions.sendAttempt(request.id, endpoint.id, request.expiresAt);
-    timers.schedule(LatencyEstimator.overdueAt(attempt), at -> checkOverdue(at, attempt));
+    scheduleOverdueCheck(LatencyEstimator.overdueAt(attempt), attempt);
+  }
+
+  private void scheduleOverdueCheck(Duration at, Attempt attempt) {
+    Timer timer = timers.schedule(at, now -> checkOverdue(now, attempt));
+    attempt.request().overdueTimers.set(attempt.number(), timer);
   }
 
   private void checkOverdue(Duration now, Attempt attempt) {
@@ -347,8 +358,7 @@
     if (endpoint.ejected || (endpoint.group.queue.isEmpty() && latency.isPresumedLost(attempt))) {
       hedge(now, attempt);
     }
-    timers.schedule(
-        now.plus(Durations.ofSeconds(attempt.expectedSeconds())), at -> checkOverdue(at, attempt));
+    scheduleOverdueCheck(now.plus(Durations.ofSeconds(attempt.expectedSeconds())), attempt);
   }
 
   /**
@@ -454,6 +464,8 @@
   private void finish(RequestState request, boolean served) {
     admissionQueue.recordFinished(request, served);
     request.finished = true;
+    request.firstSendTimer.cancel();
+    request.sendDeadlineTimer.cancel();
     if (config.cancellation()) {
       for (Attempt attempt : request.attempts) {
         if (attempt.endpoint().inFlight.contains(attempt)) {
--- a/gateway/src/main/java/weldcross/routing/RouterTimers.java
+++ b/gateway/src/main/java/weldcross/routing/RouterTimers.java
@@ -1,16 +1,13 @@
 package weldcross.routing;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /** The one-shot timers of a router, multiplexed onto a single timer of its host. */
 final class RouterTimers {
 
   private final RouterActions actions;
-  private final TreeMap<Duration, List<Consumer<Duration>>> callbacks = new TreeMap<>();
+  private final TimerQueue<Consumer<Duration>> callbacks = new TimerQueue<>();
 
   /** The time of the wake-up requested last; null if none is pending. */
   private Duration wakeUpAt;
@@ -23,11 +20,12 @@
    * Schedules a callback, which receives the time at which it runs. Callbacks for the same time run
    * in the order in which they were scheduled.
    */
-  void schedule(Duration at, Consumer<Duration> callback) {
-    callbacks.computeIfAbsent(at, time -> new ArrayList<>(1)).add(callback);
+  Timer schedule(Duration at, Consumer<Duration> callback) {
+    Timer timer = callbacks.add(at, callback);
     if (wakeUpAt == null || at.compareTo(wakeUpAt) < 0) {
       requestWakeUp(at);
     }
+    return timer;
   }
 
   /** Runs all callbacks that are due and requests the next wake-up. */
@@ -38,11 +36,13 @@
       return;
     }
     wakeUpAt = null;
-    while (!callbacks.isEmpty() && callbacks.firstKey().compareTo(now) <= 0) {
-      callbacks.pollFirstEntry().getValue().forEach(callback -> callback.accept(now));
+    for (Consumer<Duration> due = callbacks.pollDue(now);
+        due != null;
+        due = callbacks.pollDue(now)) {
+      due.accept(now);
     }
-    if (!callbacks.isEmpty()) {
-      requestWakeUp(callbacks.firstKey());
+    if (callbacks.size() > 0) {
+      requestWakeUp(callbacks.nextDueTime());
     }
   }
 
--- a/gateway/src/test/java/weldcross/gateway/HeldResponsesTest.java
+++ b/gateway/src/test/java/weldcross/gateway/HeapUsageTest.java
@@ -20,9 +20,9 @@
 import weldcross.gateway.LoopbackFakes.Primary;
 import weldcross.pgwire.MessageEncoder;
 
-/** Responses with long values that a gateway process with a small heap holds. */
+/** What a gateway process with a small heap holds for requests with long keys and values. */
 @Timeout(120)
-class HeldResponsesTest {
+class HeapUsageTest {
 
   private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
 
@@ -31,6 +31,9 @@
 
   private static final int READS_PER_CLIENT = 15;
 
+  /** Requests, one after the other, whose keys or values together are far larger than the heap. */
+  private static final int SEQUENTIAL_REQUESTS = 1_600;
+
   /** The longest value, in bytes. */
   private static final int VALUE_BYTES = 65_536;
 
@@ -89,6 +92,36 @@
     assertTrue(gateway.isRunning(), "the gateway process runs on");
   }
 
+  /** Guards against answers that stay in memory after they were written, as a timer needs them. */
+  @Test
+  void writtenAnswersAreNotKeptUntilTheirDeadlines() throws IOException {
+    try (Client client = new Client(gateway.address)) {
+      for (int index = 0; index < SEQUENTIAL_REQUESTS; index++) {
+        assertEquals("T", client.query(read("s" + index)).get(0).substring(0, 1));
+      }
+    }
+    assertTrue(gateway.isRunning(), "the gateway process runs on");
+  }
+
+  /** Guards against requests that stay in memory after they have ended, as timers refer to them. */
+  @Test
+  void endedRequestsAreNotKeptUntilTheirDeadlines() throws IOException {
+    readPrimary.rows.clear();
+    String key = "k".repeat(VALUE_BYTES);
+    try (Client client = new Client(gateway.address)) {
+      for (int index = 0; index < SEQUENTIAL_REQUESTS; index++) {
+        String query =
+            "SELECT content FROM kv WHERE name = '"
+                + key
+                + "' /* id=e"
+                + index
+                + ",c=entry-read,d=2000000000,cluster=1 */";
+        assertEquals("T", client.query(query).get(0).substring(0, 1));
+      }
+    }
+    assertTrue(gateway.isRunning(), "the gateway process runs on");
+  }
+
   private static byte[] writeAndReads(String idPrefix) {
     StringBuilder messages = new StringBuilder();
     messages.append(
