Begin nothing for a client until a pass has found its input, and its end, all read

Cause: unread input was found at a client's next read only, 37 passes later with 300 clients; and a read that left room in its buffer counted as having read all, while the end that follows the last bytes was seen another 37 passes later.

Change: whether a client may have gone is told by the clock and from the disconnect on, when an attempt is sent; input that was left unread counts as read only when a pass finds nothing more to read, neither bytes nor an end.

The test that took a read with room for the end of the input now asks for the pass that proves it.

--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -251,12 +251,12 @@
      */
     @Override
     boolean maySend() {
-      return !isInputBehind()
+      return !clientMayHaveGone()
           && gateway.router().isStillEligible(transport.now(), request.id, number);
     }
 
-    private boolean isInputBehind() {
-      return transport.isInputBehind(request.pipelined.client.id);
+    private boolean clientMayHaveGone() {
+      return transport.mayHaveGone(request.pipelined.client.id);
     }
 
     @Override
@@ -284,7 +284,7 @@
       if (outcome == AttemptOutcome.OK && !request.answered) {
         answerWith(response);
       }
-      if (outcome == AttemptOutcome.NOT_SENT && isInputBehind() && isWithoutAttempt(request)) {
+      if (outcome == AttemptOutcome.NOT_SENT && clientMayHaveGone() && isWithoutAttempt(request)) {
         answerGivenUp(request);
       }
       Duration position = positionOf(response);
--- a/gateway/src/main/java/weldcross/gateway/BulkReadLimiter.java
+++ b/gateway/src/main/java/weldcross/gateway/BulkReadLimiter.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Chooses which of the readable sessions one pass over the sockets reads. Of clients whose queries
@@ -22,15 +23,18 @@
   private record BulkSession<S>(S session, ClientStream stream) {}
 
   private final Function<S, Stream> streamOf;
+  private final Predicate<S> isReadable;
   private long pass;
 
   /**
    * Creates a limiter.
    *
    * @param streamOf returns the stream of a session; null if it has none
+   * @param isReadable whether a selected session has input, rather than room for output only
    */
-  BulkReadLimiter(Function<S, Stream> streamOf) {
+  BulkReadLimiter(Function<S, Stream> streamOf, Predicate<S> isReadable) {
     this.streamOf = streamOf;
+    this.isReadable = isReadable;
   }
 
   /** Returns the number of the current or last pass, counted from 1. */
@@ -46,7 +50,11 @@
     while (selected.hasNext()) {
       S session = selected.next();
       selected.remove();
-      if (streamOf.apply(session) instanceof ClientStream stream && stream.isRefusing()) {
+      ClientStream stream = streamOf.apply(session) instanceof ClientStream client ? client : null;
+      if (stream != null && isReadable.test(session)) {
+        stream.readableIn(pass);
+      }
+      if (stream != null && stream.isRefusing()) {
         bulk.add(new BulkSession<>(session, stream));
       } else {
         chosen.add(session);
--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -32,16 +32,19 @@
   private long receivedBytes;
   private int discardedBytes;
 
-  /** The pass in which the connection was last read; 0 if never. */
-  private long lastReadPass;
+  /** The last pass in which the connection was readable; 0 if there was none. */
+  private long lastReadablePass;
 
   /** The last pass in which the connection was chosen while its queries were refused. */
   private long lastTurn;
 
-  /** Since when input that had arrived has been left unread; null if all was read. */
-  private Duration unreadSince;
+  /** Since when input that may have arrived has been left unread; null if all was read. */
+  private volatile Duration unreadSince;
 
-  private volatile boolean inputBehind;
+  /** Whether the event loop was told that reading is behind. */
+  private boolean behindReported;
+
+  private volatile boolean closed;
 
   /** Whether the connection was readable in the last pass and not read. */
   private boolean deferred;
@@ -82,9 +85,6 @@
   @Override
   void read(ByteBuffer in) {
     receivedBytes += in.remaining();
-    // A connection that the pass before did not select had no more input then.
-    boolean drainedBefore = !deferred && processor.pass() > lastReadPass + 1;
-    lastReadPass = processor.pass();
     deferred = false;
     if (discarding) {
       inbox.clear();
@@ -93,43 +93,55 @@
         session.suspendRead();
       }
     } else {
-      // A read that leaves room in its buffer has taken all that had arrived.
-      boolean drained = in.limit() < in.capacity();
-      recordProgress(drained, drainedBefore);
-      decoder.feed(in);
-      if (drained) {
-        memory.inputDrained();
+      // A read that leaves room in its buffer has taken all bytes that had arrived. The end of the
+      // connection may follow them; only a pass that finds nothing to read shows that it does not.
+      boolean leavesRoom = in.limit() < in.capacity();
+      if (!leavesRoom || unreadSince != null) {
+        recordUnread();
       }
+      decoder.feed(in);
       inbox.deliver();
     }
   }
 
-  /** Records whether all input that had arrived is read now, or was before this read. */
-  private void recordProgress(boolean drained, boolean drainedBefore) {
-    if (drained || drainedBefore) {
-      unreadSince = null;
-      inputBehind = false;
-      memory.inputDrained();
-    }
-    if (drained) {
-      return;
-    }
-    Duration now = clock.get();
+  /** Records that more may have arrived than was read. */
+  private void recordUnread() {
     if (unreadSince == null) {
-      unreadSince = now;
-    } else if (!inputBehind && now.minus(unreadSince).compareTo(MAX_UNREAD_TIME) > 0) {
-      inputBehind = true;
+      unreadSince = clock.get();
+      processor.inputLeftUnread(this);
+    } else if (!behindReported && mayHaveGone()) {
+      behindReported = true;
       memory.refuseUntilDrained();
       batch.addForClient(connectionId, g -> g.pipeline().inputFellBehind(connectionId));
     }
   }
 
+  /** Records that all that had arrived was read. */
+  void inputDrained() {
+    unreadSince = null;
+    behindReported = false;
+    memory.inputDrained();
+  }
+
   /**
-   * Returns whether input of this client has been left unread for longer than {@link
-   * #MAX_UNREAD_TIME}; may be called by any thread.
+   * Returns whether the client has gone, or may have: its disconnect may lie behind input that has
+   * been left unread for longer than {@link #MAX_UNREAD_TIME}. May be called by any thread. It is
+   * told by the clock, as the next read may be long in coming, and the event loop may be long in
+   * handling a disconnect.
    */
-  boolean isInputBehind() {
-    return inputBehind;
+  boolean mayHaveGone() {
+    Duration since = unreadSince;
+    return closed || (since != null && clock.get().minus(since).compareTo(MAX_UNREAD_TIME) > 0);
+  }
+
+  /** Records that the connection is readable in a pass. */
+  void readableIn(long pass) {
+    lastReadablePass = pass;
+  }
+
+  /** Returns whether the connection is readable in a pass; if not, all input was read before. */
+  boolean isReadableIn(long pass) {
+    return lastReadablePass == pass;
   }
 
   /** Pauses or resumes passing on messages; called on the event loop's thread. */
@@ -204,6 +216,7 @@
 
   @Override
   void closed() {
+    closed = true;
     memory.close();
     batch.clientDisconnected(connectionId);
   }
--- a/gateway/src/main/java/weldcross/gateway/GatheringIoProcessor.java
+++ b/gateway/src/main/java/weldcross/gateway/GatheringIoProcessor.java
@@ -5,8 +5,10 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.logging.Level;
@@ -30,7 +32,10 @@
   private final Runnable onBatchRead;
 
   private final BulkReadLimiter<NioSession> bulkReads =
-      new BulkReadLimiter<>(StreamHandler::streamOf);
+      new BulkReadLimiter<>(StreamHandler::streamOf, this::isReadable);
+
+  /** Clients of which more input may have arrived than was read. */
+  private final Set<ClientStream> unread = new HashSet<>();
 
   /** Tasks that run at the end of the read batch after the current one. */
   private final Queue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>();
@@ -69,20 +74,41 @@
     for (Runnable task = submittedTasks.poll(); task != null; task = submittedTasks.poll()) {
       dueTasks.add(task);
     }
-    if (!dueTasks.isEmpty()) {
+    if (!dueTasks.isEmpty() || !unread.isEmpty()) {
       wakeup();
     }
-    return super.select(timeout);
+    int selected = super.select(timeout);
+    if (selected == 0) {
+      unread.forEach(ClientStream::inputDrained);
+      unread.clear();
+    }
+    return selected;
   }
 
-  /** Returns the number of the pass that is being made; each pass selects all that is readable. */
+  /** Returns the number of the current or last pass; each pass selects all that is readable. */
   long pass() {
     return bulkReads.pass();
   }
 
+  /** Records that a read of a client may have left input; the next pass shows whether it has. */
+  void inputLeftUnread(ClientStream stream) {
+    unread.add(stream);
+  }
+
   @Override
   protected Iterator<NioSession> selectedSessions() {
-    return bulkReads.choose(super.selectedSessions());
+    Iterator<NioSession> chosen = bulkReads.choose(super.selectedSessions());
+    unread.removeIf(this::isDrained);
+    return chosen;
+  }
+
+  /** Returns whether a client has no more input, as this pass did not select it for reading. */
+  private boolean isDrained(ClientStream stream) {
+    if (stream.isReadableIn(pass())) {
+      return false;
+    }
+    stream.inputDrained();
+    return true;
   }
 
   /** Catches the exception of a task, as it would end this thread, which reads all connections. */
--- a/gateway/src/main/java/weldcross/gateway/MinaTransport.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaTransport.java
@@ -290,9 +290,9 @@
   }
 
   @Override
-  public boolean isInputBehind(long connection) {
+  public boolean mayHaveGone(long connection) {
     IoSession session = sessions.get(connection);
-    return session != null && clientStreamOf(session).isInputBehind();
+    return session == null || clientStreamOf(session).mayHaveGone();
   }
 
   @Override
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -308,7 +308,7 @@
       respond(request, MessageEncoder.error("57P03", "stopping", null));
       return;
     }
-    if (transport.isInputBehind(request.client.id)) {
+    if (transport.mayHaveGone(request.client.id)) {
       memory.release();
       respond(request, AttemptTracker.rejectedResponse());
       return;
--- a/gateway/src/main/java/weldcross/gateway/Transport.java
+++ b/gateway/src/main/java/weldcross/gateway/Transport.java
@@ -74,10 +74,11 @@
   void setReading(long connection, boolean reading);
 
   /**
-   * Returns whether reading has fallen behind what a client sends, so that its disconnect may lie
-   * unread behind the rest. An event is posted when this begins.
+   * Returns whether a client has disconnected, also if that was not handled yet, or may have:
+   * reading has fallen behind what it sends, so that its disconnect may lie unread behind the rest.
+   * Nothing may be begun for it then.
    */
-  default boolean isInputBehind(long connection) {
+  default boolean mayHaveGone(long connection) {
     return false;
   }
 
--- a/gateway/src/test/java/weldcross/gateway/BulkReadLimiterTest.java
+++ b/gateway/src/test/java/weldcross/gateway/BulkReadLimiterTest.java
@@ -28,7 +28,8 @@
   private final GatheringIoProcessor processor = new GatheringIoProcessor(threads, () -> {});
   private final ClientMemory memory = new ClientMemory(new ClientMemoryPolicy(1 << 20));
   private final Map<String, Stream> streams = new HashMap<>();
-  private final BulkReadLimiter<String> limiter = new BulkReadLimiter<>(streams::get);
+  private final BulkReadLimiter<String> limiter =
+      new BulkReadLimiter<>(streams::get, session -> true);
 
   @AfterEach
   void stop() {
--- a/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
@@ -32,7 +32,7 @@
 
   @BeforeEach
   void startSession() {
-    startPass();
+    startPass(true);
     ByteBuffer startup = MessageEncoder.startup();
     stream.read(ByteBuffer.allocate(2 * startup.remaining()).put(startup).flip());
   }
@@ -42,14 +42,17 @@
     threads.shutdownNow();
   }
 
-  /** Starts a pass over the sockets. */
-  private void startPass() {
+  /** Starts a pass over the sockets in which the connection is readable or not. */
+  private void startPass(boolean readable) {
+    if (readable) {
+      stream.readableIn(processor.pass() + 1);
+    }
     processor.selectedSessions();
   }
 
   /** Reads queries in the next pass; more may have arrived if they fill the buffer. */
   private void readInNextPass(boolean fillsBuffer) {
-    startPass();
+    startPass(true);
     ByteBuffer query = MessageEncoder.query("");
     int size = query.remaining() * QUERIES_PER_READ;
     ByteBuffer buffer = ByteBuffer.allocate(fillsBuffer ? size : size + 1);
@@ -65,12 +68,14 @@
     readInNextPass(true);
     now = now.plusMillis(40);
     readInNextPass(true);
-    assertFalse(stream.isInputBehind());
+    assertFalse(stream.mayHaveGone());
     now = now.plusMillis(20);
     readInNextPass(true);
-    assertTrue(stream.isInputBehind());
+    assertTrue(stream.mayHaveGone());
     readInNextPass(false);
-    assertFalse(stream.isInputBehind());
+    assertTrue(stream.mayHaveGone(), "the end of the connection may follow what was read");
+    startPass(false);
+    assertFalse(stream.mayHaveGone());
     assertFalse(stream.isRefusing());
     batch.postAll();
     assertEquals(9, posted.size(), "8 messages, and that input fell behind");
@@ -80,21 +85,32 @@
   @Test
   void readThatFillsItsBufferAfterARestIsNotBehind() {
     readInNextPass(true);
-    startPass();
+    startPass(false);
     now = now.plusSeconds(10);
+    assertFalse(stream.mayHaveGone());
     readInNextPass(true);
-    assertFalse(stream.isInputBehind());
+    assertFalse(stream.mayHaveGone());
     assertFalse(stream.isRefusing());
   }
 
+  /** Guards against attempts for a client whose disconnect the event loop has not handled. */
+  @Test
+  void clientHasGoneAsSoonAsItsDisconnectIsRead() {
+    readInNextPass(false);
+    assertFalse(stream.mayHaveGone());
+    stream.closed();
+    assertTrue(stream.mayHaveGone());
+  }
+
   /** A connection that was left to a later pass has input, other than one that is not readable. */
   @Test
   void deferredInputIsBehind() {
     readInNextPass(true);
-    startPass();
+    startPass(true);
     stream.defer();
     now = now.plusMillis(60);
+    assertTrue(stream.mayHaveGone(), "before the next read, which may be long in coming");
     readInNextPass(true);
-    assertTrue(stream.isInputBehind());
+    assertTrue(stream.mayHaveGone());
   }
 }
--- a/gateway/src/test/java/weldcross/gateway/FakeTransport.java
+++ b/gateway/src/test/java/weldcross/gateway/FakeTransport.java
@@ -189,7 +189,7 @@
   }
 
   @Override
-  public boolean isInputBehind(long number) {
+  public boolean mayHaveGone(long number) {
     return inputBehind.contains(number);
   }
 
