Count requests for encryption that wait, instead of keeping each of them

Callers saw: while six clients ask for TLS at full speed for 5 s, answers come late or never, and then the process ends with OutOfMemoryError.

Cause: each request was an entry and an event in the client's inbox, which no limit counts. Class histogram of a trial, 3 s after the flood: 2,164,902 inbox entries and as many events, 87 of 97 MB; usual clients waited up to 2.5 s.

Change: requests that follow one another are one entry with their number, and their refusals share one buffer. The same for three related paths: the note that a message has begun goes when the message has ended, counted queries stay one object, and a close with a reason needs a buffer for 256 messages, not for each. What is answered alike is written share by share, others are served between.

HeapUsageTest.requestsForEncryption... fails before (the process ends) and passes now.

--- a/gateway/src/main/java/weldcross/gateway/ClientConnection.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnection.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import weldcross.pgwire.ResponseAccount;
 import weldcross.routing.Timer;
 
@@ -101,6 +102,16 @@
     return messagesBeforePartial == messages;
   }
 
+  /** Removes the next waiting messages; returns what starts them. Must not be called if none is. */
+  Consumer<PipelinedRequest> takeWaiting() {
+    WaitingMessages next = waiting.peek();
+    Consumer<PipelinedRequest> start = next.takeNext();
+    if (next.count() == 0) {
+      waiting.poll();
+    }
+    return start;
+  }
+
   /** Whether no request is outstanding and no response is being written. */
   boolean isIdle() {
     return inFlight.isEmpty() && !writing && waiting.isEmpty();
--- a/gateway/src/main/java/weldcross/gateway/ClientConnections.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientConnections.java
@@ -21,6 +21,9 @@
   /** The message timeout as a multiple of the connect timeout. */
   private static final int MESSAGE_TIMEOUT_MULTIPLE = 8;
 
+  private static final RepeatedResponse NOT_BEGUN =
+      new RepeatedResponse(MessageEncoder.error("53300", "not begun", null));
+
   private final Gateway gateway;
   private final Transport transport;
   private final SplittableRandom secretKeys;
@@ -259,11 +262,8 @@
         parts.add(AttemptTracker.failedResponse());
       }
     }
-    ByteBuffer refusal = MessageEncoder.error("53300", "not begun", null);
     for (WaitingMessages messages : client.waiting) {
-      for (int index = 0; index < messages.count(); index++) {
-        parts.add(refusal.duplicate());
-      }
+      NOT_BEGUN.addTo(parts, messages.count());
     }
     parts.add(MessageEncoder.fatal(sqlState, text));
     transport.write(client.id, parts.toArray(new ByteBuffer[0]));
--- a/gateway/src/main/java/weldcross/gateway/ClientInbox.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientInbox.java
@@ -11,17 +11,27 @@
  *
  * <p>Except where a comment says otherwise, methods are called by the thread that reads.
  */
-final class ClientInbox {
+final class ClientInbox implements ClientMessageQueue {
 
   /** Maximum number of events that are delivered but not handled yet. */
   private static final int MAX_UNHANDLED = 8;
 
-  /** One event or, if that is null, queries that followed one another and were discarded. */
+  /** What an entry stands for. */
+  private enum Kind {
+    MESSAGE,
+    DISCARDED_QUERIES,
+    ENCRYPTION_REQUESTS,
+    MESSAGE_STARTED
+  }
+
+  /** A message, or messages that followed one another and are answered alike. */
   private static final class Entry {
+    private final Kind kind;
     private final Gateway.Event event;
-    private int discardedQueries;
+    private int count;
 
-    private Entry(Gateway.Event event) {
+    private Entry(Kind kind, Gateway.Event event) {
+      this.kind = kind;
       this.event = event;
     }
   }
@@ -47,20 +57,50 @@
     this.processor = processor;
   }
 
-  /** Adds an event; {@link #deliver} must be called afterwards. */
-  void add(Gateway.Event event) {
-    entries.add(new Entry(event));
-    hasEntries = true;
+  /** Adds a message; like after the other methods, {@link #deliver} must be called afterwards. */
+  @Override
+  public void add(Gateway.Event event) {
+    addEntry(Kind.MESSAGE, event);
+  }
+
+  @Override
+  public void addDiscardedQuery() {
+    addAlike(Kind.DISCARDED_QUERIES);
+  }
+
+  @Override
+  public void addEncryptionRequest() {
+    addAlike(Kind.ENCRYPTION_REQUESTS);
+  }
+
+  @Override
+  public void addMessageStarted() {
+    addEntry(Kind.MESSAGE_STARTED, g -> g.clients().messageStarted(connectionId));
   }
 
-  /** Adds a query that was discarded; {@link #deliver} must be called afterwards. */
-  void addDiscardedQuery() {
+  /** Counts messages that are answered alike in one entry, as no limit counts their entries. */
+  private void addAlike(Kind kind) {
+    dropMessageStarted();
     Entry last = entries.peekLast();
-    if (last == null || last.event != null) {
-      add(null);
+    if (last == null || last.kind != kind) {
+      addEntry(kind, null);
       last = entries.peekLast();
     }
-    last.discardedQueries++;
+    last.count++;
+  }
+
+  private void addEntry(Kind kind, Gateway.Event event) {
+    dropMessageStarted();
+    entries.add(new Entry(kind, event));
+    hasEntries = true;
+  }
+
+  /** Drops the note that a message has started once it has ended, before it was delivered. */
+  private void dropMessageStarted() {
+    Entry last = entries.peekLast();
+    if (last != null && last.kind == Kind.MESSAGE_STARTED) {
+      entries.pollLast();
+    }
   }
 
   boolean isEmpty() {
@@ -96,11 +136,12 @@
   }
 
   private Gateway.Event eventOf(Entry entry) {
-    if (entry.event != null) {
-      return entry.event;
-    }
-    int count = entry.discardedQueries;
-    return gateway -> gateway.pipeline().queriesDiscarded(connectionId, count);
+    int count = entry.count;
+    return switch (entry.kind) {
+      case MESSAGE, MESSAGE_STARTED -> entry.event;
+      case DISCARDED_QUERIES -> g -> g.pipeline().queriesDiscarded(connectionId, count);
+      case ENCRYPTION_REQUESTS -> g -> g.pipeline().encryptionRequested(connectionId, count);
+    };
   }
 
   /** Called by the event loop after each delivered event. */
--- a/gateway/src/main/java/weldcross/gateway/MessageDecoders.java
+++ b/gateway/src/main/java/weldcross/gateway/MessageDecoders.java
@@ -26,29 +26,26 @@
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number) {
-    Runnable discarded = () -> post.accept(g -> g.pipeline().queriesDiscarded(number, 1));
-    ClientMemory.Account memory = ClientMemory.unlimitedAccount();
-    return new ClientMessageDecoder(
-        new ClientEvents(post, discarded, postAlways, clock, number, memory));
+    ClientMessageQueue queue = ClientMessageQueue.direct(number, post);
+    return forClient(queue, postAlways, clock, number, ClientMemory.unlimitedAccount());
   }
 
   /**
    * Returns a decoder for what a client sends that refuses messages for which there is no memory.
    *
-   * @param inbox receives events that may be discarded if this client disconnects
+   * @param queue receives events that may be discarded if this client disconnects
    * @param postAlways receives events that must be handled even if this client disconnects
    * @param clock the time since the gateway's start
    * @param number identifies the client's connection
    * @param memory accounts for the client's messages
    */
   static ClientMessageDecoder forClient(
-      ClientInbox inbox,
+      ClientMessageQueue queue,
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number,
       ClientMemory.Account memory) {
-    return new ClientMessageDecoder(
-        new ClientEvents(inbox::add, inbox::addDiscardedQuery, postAlways, clock, number, memory));
+    return new ClientMessageDecoder(new ClientEvents(queue, postAlways, clock, number, memory));
   }
 
   /**
@@ -63,8 +60,7 @@
 
   /** Posts the messages of one client as events. */
   private record ClientEvents(
-      Consumer<Gateway.Event> post,
-      Runnable postDiscardedQuery,
+      ClientMessageQueue queue,
       Consumer<Gateway.Event> postAlways,
       Supplier<Duration> clock,
       long number,
@@ -73,26 +69,26 @@
 
     @Override
     public void encryptionRequested() {
-      post.accept(gateway -> gateway.pipeline().encryptionRequested(number));
+      queue.addEncryptionRequest();
     }
 
     @Override
     public void startupReceived() {
-      post.accept(gateway -> gateway.pipeline().startupReceived(number));
+      queue.add(gateway -> gateway.pipeline().startupReceived(number));
     }
 
     @Override
     public void statementReceived(Statement statement) {
       Duration receivedAt = clock.get();
       ClientMemory.RequestMemory held = memory.messageReceived();
-      post.accept(
+      queue.add(
           gateway -> gateway.pipeline().statementReceived(number, statement, receivedAt, held));
     }
 
     @Override
     public void emptyQueryReceived() {
       ClientMemory.RequestMemory held = memory.messageReceived();
-      post.accept(
+      queue.add(
           gateway -> {
             held.release();
             gateway.pipeline().emptyQueryReceived(number);
@@ -102,7 +98,7 @@
     @Override
     public void statementRejected(String sqlState, String message) {
       ClientMemory.RequestMemory held = memory.messageReceived();
-      post.accept(
+      queue.add(
           gateway -> {
             held.release();
             gateway.pipeline().statementRejected(number, sqlState, message);
@@ -116,22 +112,22 @@
 
     @Override
     public void queryDiscarded() {
-      postDiscardedQuery.run();
+      queue.addDiscardedQuery();
     }
 
     @Override
     public void messageStarted() {
-      post.accept(gateway -> gateway.clients().messageStarted(number));
+      queue.addMessageStarted();
     }
 
     @Override
     public void protocolError(String sqlState, String message) {
-      post.accept(gateway -> gateway.clients().protocolError(number, sqlState, message));
+      queue.add(gateway -> gateway.clients().protocolError(number, sqlState, message));
     }
 
     @Override
     public void terminated() {
-      post.accept(gateway -> gateway.clients().terminated(number));
+      queue.add(gateway -> gateway.clients().terminated(number));
     }
 
     @Override
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -38,10 +38,11 @@
   /** Reason of a refusal for lack of memory. */
   static final String OUT_OF_MEMORY = "too much is held for clients";
 
-  /** Refusals of queries that followed one another are written together, up to this number. */
-  private static final int REFUSALS_PER_WRITE = 256;
+  private static final RepeatedResponse QUERY_REFUSALS =
+      new RepeatedResponse(MessageEncoder.error("53300", OUT_OF_MEMORY, null));
 
-  private static final ByteBuffer REFUSALS = createRefusals();
+  private static final RepeatedResponse ENCRYPTION_REFUSALS =
+      new RepeatedResponse(MessageEncoder.encryptionRefused());
 
   private static final Logger LOG = Logger.getLogger(RequestPipeline.class.getName());
 
@@ -70,9 +71,16 @@
 
   // ---- Client messages
 
-  /** Handles an SSLRequest or GSSENCRequest; encryption is not supported. */
-  void encryptionRequested(long connectionId) {
-    enqueue(connectionId, request -> respond(request, MessageEncoder.encryptionRefused()));
+  /**
+   * Handles SSLRequests or GSSENCRequests that followed one another; encryption is not supported.
+   *
+   * @param count the number of requests, positive
+   */
+  void encryptionRequested(long connectionId, int count) {
+    ClientConnection client = clients.find(connectionId);
+    if (client != null) {
+      enqueueAlike(client, count, ENCRYPTION_REFUSALS);
+    }
   }
 
   /** Handles a client's startup message. */
@@ -133,12 +141,14 @@
     }
     gateway.warn("requests refused: reason=" + OUT_OF_MEMORY);
     client.statements += count;
-    for (int left = count; left > 0; left -= Math.min(left, REFUSALS_PER_WRITE)) {
-      int refusals = Math.min(left, REFUSALS_PER_WRITE);
-      client.messages += refusals;
-      client.waiting.add(
-          new WaitingMessages(refusals, request -> respond(request, refusals(refusals))));
-    }
+    enqueueAlike(client, count, QUERY_REFUSALS);
+  }
+
+  private void enqueueAlike(ClientConnection client, int count, RepeatedResponse response) {
+    client.messages += count;
+    client.waiting.add(
+        WaitingMessages.alike(
+            count, answered -> request -> respond(request, response.of(answered))));
     startOrPause(client);
   }
 
@@ -159,21 +169,6 @@
     }
   }
 
-  private static ByteBuffer refusals(int count) {
-    int size = REFUSALS.remaining() / REFUSALS_PER_WRITE;
-    return REFUSALS.duplicate().limit(count * size);
-  }
-
-  /** Returns one response after the other that refuses a request, as many as one write takes. */
-  private static ByteBuffer createRefusals() {
-    ByteBuffer refusal = MessageEncoder.error("53300", OUT_OF_MEMORY, null);
-    ByteBuffer all = ByteBuffer.allocate(refusal.remaining() * REFUSALS_PER_WRITE);
-    while (all.hasRemaining()) {
-      all.put(refusal.duplicate());
-    }
-    return all.flip();
-  }
-
   private void countStatement(long connectionId) {
     ClientConnection client = clients.find(connectionId);
     if (client != null) {
@@ -194,8 +189,8 @@
     }
     client.messages++;
     client.waiting.add(
-        new WaitingMessages(
-            1, client.waiting.size() < MAX_WAITING ? start : this::rejectAsTooMany));
+        WaitingMessages.single(
+            client.waiting.size() < MAX_WAITING ? start : this::rejectAsTooMany));
     startOrPause(client);
   }
 
@@ -216,7 +211,7 @@
     while (client.inFlight.size() < MAX_IN_FLIGHT && !client.closed && !client.waiting.isEmpty()) {
       PipelinedRequest request = new PipelinedRequest(client);
       client.inFlight.add(request);
-      client.waiting.poll().start().accept(request);
+      client.takeWaiting().accept(request);
     }
     writeResponses(client);
     if (client.readPaused && client.waiting.isEmpty() && !client.closed) {
@@ -273,7 +268,19 @@
     }
     client.writing = true;
     if (transport.write(client.id, parts.toArray(new ByteBuffer[0]))) {
+      continueAfterWrite(client);
+    }
+  }
+
+  /**
+   * Continues with a connection whose write is complete. If messages wait, that is left to the next
+   * iteration of the event loop, as a client that has sent very many would delay all others.
+   */
+  private void continueAfterWrite(ClientConnection client) {
+    if (client.waiting.isEmpty()) {
       gateway.defer(() -> responsesWritten(client.id));
+    } else {
+      gateway.schedule(gateway.now(), () -> responsesWritten(client.id));
     }
   }
 
--- a/gateway/src/test/java/weldcross/gateway/ClientInboxTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ClientInboxTest.java
@@ -78,4 +78,29 @@
     String received = harness.connections.get(1L).takeReceived();
     assertEquals(MESSAGES, received.split("C53300", -1).length - 1);
   }
+
+  /** Guards against memory for each request for encryption, however many come before a startup. */
+  @Test
+  void encryptionRequestsThatFollowOneAnotherAreDeliveredTogether() {
+    for (int index = 0; index < MESSAGES; index++) {
+      inbox.addMessageStarted();
+      inbox.addEncryptionRequest();
+    }
+    inbox.deliver();
+    assertEquals(1, posted.size());
+    handlePosted();
+    assertEquals("N".repeat(MESSAGES), harness.connections.get(1L).takeReceived());
+  }
+
+  /** Guards against memory for each message that comes in two parts and is not held. */
+  @Test
+  void startOfAMessageIsNotKeptOnceTheMessageIsComplete() {
+    for (int index = 0; index < MESSAGES; index++) {
+      inbox.addMessageStarted();
+      inbox.addDiscardedQuery();
+    }
+    inbox.addMessageStarted();
+    inbox.deliver();
+    assertEquals(2, posted.size(), "the queries, and the start of a message that has not ended");
+  }
 }
--- a/gateway/src/test/java/weldcross/gateway/HeapUsageTest.java
+++ b/gateway/src/test/java/weldcross/gateway/HeapUsageTest.java
@@ -6,11 +6,15 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,9 +38,18 @@
   /** Requests, one after the other, whose keys or values together are far larger than the heap. */
   private static final int SEQUENTIAL_REQUESTS = 1_600;
 
+  private static final int FLOODING_CLIENTS = 6;
+
+  /** Requests for encryption of each flooding client. */
+  private static final int ENCRYPTION_REQUESTS = 1_000_000;
+
+  /** The code of a request for encryption. */
+  private static final int SSL_REQUEST = 80_877_103;
+
   /** The longest value, in bytes. */
   private static final int VALUE_BYTES = 65_536;
 
+  private final ExecutorService threads = Executors.newCachedThreadPool();
   private final LoopbackFakes fakes = new LoopbackFakes();
   private Primary writePrimary;
   private Primary readPrimary;
@@ -55,6 +68,7 @@
 
   @AfterEach
   void stop() throws IOException {
+    threads.shutdownNow();
     writePrimary.writeLatch.countDown();
     gateway.close();
     fakes.close();
@@ -122,6 +136,51 @@
     assertTrue(gateway.isRunning(), "the gateway process runs on");
   }
 
+  /**
+   * Guards against a process that ends for lack of heap, and answers that come late, while clients
+   * ask for encryption at full speed: each request is refused, and other clients are served.
+   */
+  @Test
+  void requestsForEncryptionAtFullSpeedAreAllRefusedAndOthersServed() throws Exception {
+    List<Future<Integer>> floods = new ArrayList<>();
+    for (int index = 0; index < FLOODING_CLIENTS; index++) {
+      floods.add(threads.submit(this::requestEncryptionAndCountRefusals));
+    }
+    int served = 0;
+    try (Client usual = new Client(gateway.address)) {
+      while (floods.stream().anyMatch(flood -> !flood.isDone())) {
+        assertEquals("T", usual.query(read("u" + served)).get(0).substring(0, 1));
+        served++;
+      }
+    }
+    for (Future<Integer> flood : floods) {
+      assertEquals(ENCRYPTION_REQUESTS, flood.get());
+    }
+    assertTrue(served > 0);
+  }
+
+  /** Sends requests for encryption without waiting for answers; returns how many are refused. */
+  private int requestEncryptionAndCountRefusals() throws Exception {
+    byte[] request = ByteBuffer.allocate(8).putInt(8).putInt(SSL_REQUEST).array();
+    ByteBuffer block = ByteBuffer.allocate(request.length * 1_000);
+    while (block.hasRemaining()) {
+      block.put(request);
+    }
+    try (Socket socket = new Socket(gateway.address.getAddress(), gateway.address.getPort())) {
+      Future<?> sending =
+          threads.submit(
+              () -> {
+                for (int sent = 0; sent < ENCRYPTION_REQUESTS; sent += 1_000) {
+                  socket.getOutputStream().write(block.array());
+                }
+                return null;
+              });
+      byte[] refusals = socket.getInputStream().readNBytes(ENCRYPTION_REQUESTS);
+      sending.get();
+      return refusals.length;
+    }
+  }
+
   private static byte[] writeAndReads(String idPrefix) {
     StringBuilder messages = new StringBuilder();
     messages.append(
