Limit the memory of session tokens; merge the oldest ones into the floor

Found in the search for other ways to exhaust the heap: each write leaves its session's name for 60 s, which the client chooses. 1,600 writes with new keys of 64 KiB, four at a time, end a gateway within 11 s.

Change: tokens hold 8 MiB at most. Beyond that the oldest are merged into the floor that sessions without a token must see, so that no read becomes stale.

HeapUsageTest.tokensOfSessions... fails before (the process ends) and passes now.

--- a/gateway/src/main/java/weldcross/routing/SessionConsistency.java
+++ b/gateway/src/main/java/weldcross/routing/SessionConsistency.java
@@ -3,6 +3,7 @@
 import static weldcross.routing.Durations.later;
 
 import java.time.Duration;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -19,12 +20,25 @@
    */
   private static final Duration TOKEN_RETENTION = Duration.ofSeconds(60);
 
+  /**
+   * Maximum memory of the tokens of all sessions, in bytes. Clients choose the names of their
+   * sessions, which may be long and ever new; beyond this the oldest tokens are merged into the
+   * floor.
+   */
+  static final int MAX_TOKEN_BYTES = 8 << 20;
+
+  /** What a token occupies beside the name of its session, in bytes. */
+  static final int TOKEN_OVERHEAD_BYTES = 160;
+
   /** How much later than the end of its attempt a write without an answer may be committed. */
   private static final Duration UNCERTAIN_COMMIT_MARGIN = Duration.ofMillis(30);
 
   private final boolean clientsCarryTokens;
   private final Map<SessionId, Duration> tokens = new LinkedHashMap<>();
 
+  /** What the tokens occupy, in bytes. */
+  private long tokenBytes;
+
   /** The latest expired token; null if none has expired. */
   private Duration expiredTokenFloor;
 
@@ -76,18 +90,42 @@
     }
     Duration committed = outcome == AttemptOutcome.OK ? now : now.plus(UNCERTAIN_COMMIT_MARGIN);
     Duration token = position == null ? committed : position;
-    tokens.put(request.session, later(tokens.remove(request.session), token));
+    Duration previous = tokens.remove(request.session);
+    tokenBytes += previous == null ? bytesOf(request.session) : 0;
+    tokens.put(request.session, later(previous, token));
+    mergeBeyondLimit();
+  }
+
+  /** Merges the tokens of the sessions that wrote longest ago, while the tokens hold too much. */
+  private void mergeBeyondLimit() {
+    Iterator<Map.Entry<SessionId, Duration>> oldest = tokens.entrySet().iterator();
+    while (tokenBytes > MAX_TOKEN_BYTES) {
+      mergeIntoFloor(oldest.next());
+      oldest.remove();
+    }
   }
 
-  /** Merges old tokens into the floor, so that the map does not grow without bound. */
+  /** Merges old tokens into the floor, so that they are not kept for ever. */
   void expireTokens(Duration now) {
     tokens
-        .values()
+        .entrySet()
         .removeIf(
-            token -> {
-              boolean expired = now.minus(TOKEN_RETENTION).compareTo(token) >= 0;
-              expiredTokenFloor = expired ? later(expiredTokenFloor, token) : expiredTokenFloor;
+            entry -> {
+              boolean expired = now.minus(TOKEN_RETENTION).compareTo(entry.getValue()) >= 0;
+              if (expired) {
+                mergeIntoFloor(entry);
+              }
               return expired;
             });
   }
+
+  /** Merges a token that is about to be removed. */
+  private void mergeIntoFloor(Map.Entry<SessionId, Duration> token) {
+    expiredTokenFloor = later(expiredTokenFloor, token.getValue());
+    tokenBytes -= bytesOf(token.getKey());
+  }
+
+  private static int bytesOf(SessionId session) {
+    return session.name().length() + TOKEN_OVERHEAD_BYTES;
+  }
 }
--- a/gateway/src/test/java/weldcross/gateway/HeapUsageTest.java
+++ b/gateway/src/test/java/weldcross/gateway/HeapUsageTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -35,7 +37,9 @@
 
   private static final int READS_PER_CLIENT = 15;
 
-  /** Requests, one after the other, whose keys or values together are far larger than the heap. */
+  private static final int SEQUENTIAL_CLIENTS = 4;
+
+  /** Requests, a few at a time, whose keys or values together are far larger than the heap. */
   private static final int SEQUENTIAL_REQUESTS = 1_600;
 
   private static final int FLOODING_CLIENTS = 6;
@@ -49,6 +53,8 @@
   /** The longest value, in bytes. */
   private static final int VALUE_BYTES = 65_536;
 
+  private static final String LONG_KEY = "k".repeat(VALUE_BYTES);
+
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final LoopbackFakes fakes = new LoopbackFakes();
   private Primary writePrimary;
@@ -108,34 +114,63 @@
 
   /** Guards against answers that stay in memory after they were written, as a timer needs them. */
   @Test
-  void writtenAnswersAreNotKeptUntilTheirDeadlines() throws IOException {
-    try (Client client = new Client(gateway.address)) {
-      for (int index = 0; index < SEQUENTIAL_REQUESTS; index++) {
-        assertEquals("T", client.query(read("s" + index)).get(0).substring(0, 1));
-      }
-    }
-    assertTrue(gateway.isRunning(), "the gateway process runs on");
+  void writtenAnswersAreNotKeptUntilTheirDeadlines() throws Exception {
+    assertAllServed(index -> read("s" + index));
   }
 
   /** Guards against requests that stay in memory after they have ended, as timers refer to them. */
   @Test
-  void endedRequestsAreNotKeptUntilTheirDeadlines() throws IOException {
+  void endedRequestsAreNotKeptUntilTheirDeadlines() throws Exception {
     readPrimary.rows.clear();
-    String key = "k".repeat(VALUE_BYTES);
-    try (Client client = new Client(gateway.address)) {
-      for (int index = 0; index < SEQUENTIAL_REQUESTS; index++) {
-        String query =
+    assertAllServed(
+        index ->
             "SELECT content FROM kv WHERE name = '"
-                + key
+                + LONG_KEY
                 + "' /* id=e"
                 + index
-                + ",c=entry-read,d=2000000000,cluster=1 */";
-        assertEquals("T", client.query(query).get(0).substring(0, 1));
-      }
+                + ",c=entry-read,d=2000000000,cluster=1 */");
+  }
+
+  /** Guards against tokens of sessions that fill the heap, as each write names a new one. */
+  @Test
+  void tokensOfSessionsWithLongNamesDoNotExhaustTheHeap() throws Exception {
+    assertAllServed(
+        index -> {
+          writePrimary.rows.clear();
+          return "INSERT INTO kv (name, content) VALUES ('"
+              + LONG_KEY
+              + index
+              + "', '\\x00') RETURNING content /* id=t"
+              + index
+              + ",c=entry-write,d=20000,cluster=0 */";
+        });
+  }
+
+  /** Sends queries from a few clients, each one at a time; all must be served. */
+  private void assertAllServed(IntFunction<String> queryOf) throws Exception {
+    AtomicInteger next = new AtomicInteger();
+    List<Future<Void>> clients = new ArrayList<>();
+    for (int client = 0; client < SEQUENTIAL_CLIENTS; client++) {
+      clients.add(threads.submit(() -> queryUntilAllSent(next, queryOf)));
+    }
+    for (Future<Void> client : clients) {
+      client.get();
     }
     assertTrue(gateway.isRunning(), "the gateway process runs on");
   }
 
+  private Void queryUntilAllSent(AtomicInteger next, IntFunction<String> queryOf)
+      throws IOException {
+    try (Client client = new Client(gateway.address)) {
+      for (int index = next.getAndIncrement();
+          index < SEQUENTIAL_REQUESTS;
+          index = next.getAndIncrement()) {
+        assertEquals("T", client.query(queryOf.apply(index)).get(0).substring(0, 1));
+      }
+    }
+    return null;
+  }
+
   /**
    * Guards against a process that ends for lack of heap, and answers that come late, while clients
    * ask for encryption at full speed: each request is refused, and other clients are served.
--- a/gateway/src/test/java/weldcross/routing/SessionConsistencyTest.java
+++ b/gateway/src/test/java/weldcross/routing/SessionConsistencyTest.java
@@ -144,4 +144,39 @@
     SessionConsistency sessionConsistency = new SessionConsistency(config);
     assertEquals(expected, sessionConsistency.isFreshEnough(ms(1000), request, replica));
   }
+
+  /** Guards against a stale read of a session whose token was dropped for lack of memory. */
+  @Test
+  void tokenThatIsMergedForLackOfMemoryStillBindsItsSession() {
+    RoutingConfig config =
+        RoutingConfigs.withWrites(
+            Idempotency.NON_IDEMPOTENT, DeduplicationScope.GROUP, true, false, false);
+    SessionConsistency consistency = new SessionConsistency(config);
+    String longName = "n".repeat(SessionConsistency.MAX_TOKEN_BYTES / 4);
+    for (int session = 0; session < 8; session++) {
+      RequestState write = write(config, longName + session);
+      consistency.recordOutcome(ms(100 + session), write, AttemptOutcome.OK, null);
+      assertEquals(ms(100 + session), consistency.token(write));
+    }
+    // Three names of a quarter of the limit fit in, with their overhead.
+    assertEquals(ms(104), consistency.token(write(config, longName + 0)));
+    assertEquals(ms(105), consistency.token(write(config, longName + 5)));
+    consistency.expireTokens(ms(200_000));
+    assertEquals(ms(107), consistency.token(write(config, longName + 5)));
+  }
+
+  private static RequestState write(RoutingConfig config, String session) {
+    int classIndex = RoutingConfigs.classIndex(Consistency.WRITE);
+    return new RequestState(
+        new RequestId("w"),
+        classIndex,
+        config.requestClasses().get(classIndex),
+        new ReplicaGroup(),
+        new SessionId(session),
+        null,
+        false,
+        ms(0),
+        ms(1000),
+        0);
+  }
 }
