Do not send a write again that must run once, when its id comes again

Seen by operators: a client closes its connection with much unread, comes again, and an id runs twice.

Cause: a request was forgotten once its client had gone and its attempt had ended, though the attempt may have run; its id was new again.

AttemptTrackerTest.writeThatComesAgain... fails before (attempt sent after the client's disconnect) and passes now.

--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -10,6 +10,7 @@
 import weldcross.pgwire.ServerResponse;
 import weldcross.routing.AttemptOutcome;
 import weldcross.routing.AttemptResult;
+import weldcross.routing.ExecutedWrites;
 import weldcross.routing.RequestId;
 import weldcross.routing.ServerId;
 import weldcross.routing.Timer;
@@ -38,6 +39,8 @@
   /** Requests that are unanswered or have open attempts, in order of arrival. */
   private final Map<RequestId, RoutedRequest> requests = new LinkedHashMap<>();
 
+  private final ExecutedWrites executedWrites = new ExecutedWrites();
+
   private long accepted;
   private long served;
   private long rejected;
@@ -60,6 +63,11 @@
     return requests.get(id);
   }
 
+  /** Returns whether a request that must not run twice was sent before, and may have run. */
+  boolean mayHaveExecuted(RequestId id) {
+    return executedWrites.mayContain(id);
+  }
+
   /** Starts to track a request that is about to be routed. */
   void add(RoutedRequest request) {
     accepted++;
@@ -218,6 +226,9 @@
     if (request.answered && request.openAttempts == 0) {
       requests.remove(request.id);
       request.release();
+      if (request.executedOnceOnly && request.mayHaveExecuted) {
+        executedWrites.record(request.id);
+      }
     }
   }
 
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -14,6 +14,7 @@
 import weldcross.routing.GroupId;
 import weldcross.routing.NewRequest;
 import weldcross.routing.RequestClass.Consistency;
+import weldcross.routing.RequestClass.Idempotency;
 import weldcross.routing.RequestId;
 import weldcross.routing.SessionId;
 
@@ -334,7 +335,11 @@
     }
     Duration timeLeft = timeLeft(statement, receivedAt);
     Duration deadline = gateway.now().plus(timeLeft);
-    RoutedRequest routed = new RoutedRequest(id, request, statement, memory, deadline);
+    boolean executedOnceOnly =
+        config.routing().requestClasses().get(requestClass).idempotency()
+            == Idempotency.NON_IDEMPOTENT;
+    RoutedRequest routed =
+        new RoutedRequest(id, request, statement, memory, deadline, executedOnceOnly);
     route(routed, requestClass, group, timeLeft);
   }
 
--- a/gateway/src/main/java/weldcross/gateway/RequestValidator.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestValidator.java
@@ -17,6 +17,8 @@
     UNKNOWN_TENANT("22023", "unknown tenant"),
     UNKNOWN_GROUP("22023", "unknown cluster"),
     DUPLICATE_ID("22023", "id is in use"),
+    /** The request must not run twice, and may have run. */
+    EXECUTED_BEFORE("58000", "id was sent before, and may have run"),
     /** The group is unknown, but a valid endpoint list may contain it. */
     NOT_READY("57P03", "not ready");
 
@@ -71,7 +73,7 @@
     if (attempts.find(id) != null) {
       return Result.DUPLICATE_ID;
     }
-    return Result.VALID;
+    return attempts.mayHaveExecuted(id) ? Result.EXECUTED_BEFORE : Result.VALID;
   }
 
   private boolean isWrite(int requestClass) {
--- a/gateway/src/main/java/weldcross/gateway/RoutedRequest.java
+++ b/gateway/src/main/java/weldcross/gateway/RoutedRequest.java
@@ -26,6 +26,9 @@
   /** Number of attempts that have not ended. */
   int openAttempts;
 
+  /** Whether the request must not be executed twice. */
+  final boolean executedOnceOnly;
+
   /** Whether an attempt that has ended may have been executed. */
   boolean mayHaveExecuted;
 
@@ -37,13 +40,15 @@
       PipelinedRequest pipelined,
       Statement statement,
       ClientMemory.RequestMemory memory,
-      Duration deadline) {
+      Duration deadline,
+      boolean executedOnceOnly) {
     this.id = id;
     this.pipelined = pipelined;
     pipelined.routed = this;
     this.statement = statement;
     this.memory = memory;
     this.deadline = deadline;
+    this.executedOnceOnly = executedOnceOnly;
     memory.start();
   }
 
--- a/gateway/src/test/java/weldcross/gateway/AttemptTrackerTest.java
+++ b/gateway/src/test/java/weldcross/gateway/AttemptTrackerTest.java
@@ -287,4 +287,29 @@
     assertEquals("53300", harness.history.answers.get(id));
     assertTrue(harness.connections.get(client).takeReceived().contains("\0D500\0"));
   }
+
+  /**
+   * Guards against an effect that happens twice, as a client leaves before it has its answer and
+   * comes back with the same request.
+   */
+  @Test
+  void writeThatComesAgainAfterItsClientHasLeftIsNotSentAgain() {
+    GatewayHarness harness = GatewayHarness.serving();
+    long first = harness.connect();
+    String id = harness.request(first, true, 900);
+    harness.connectionOf(id);
+    harness.disconnect(first);
+    harness.advance(50);
+    long second = harness.connect();
+    harness.nextRequest--;
+    assertEquals(id, harness.request(second, true, 900));
+    assertTrue(
+        harness.busyConnections().stream()
+            .noneMatch(
+                number ->
+                    id.equals(RequestHistory.idOf(harness.connections.get(number).statement))),
+        "the write is not sent again");
+    String answer = harness.connections.get(second).takeReceived();
+    assertTrue(answer.contains("C58000"), answer);
+  }
 }
