--- a/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
+++ b/gateway/src/main/java/weldcross/gateway/AttemptTracker.java
@@ -262,12 +262,12 @@
      */
     @Override
     boolean maySend() {
-      return !clientMayHaveGone()
+      return !clientMayBeDisconnected()
           && gateway.router().isStillEligible(transport.now(), request.id, number);
     }
 
-    private boolean clientMayHaveGone() {
-      return transport.mayHaveGone(request.pipelined.client.id);
+    private boolean clientMayBeDisconnected() {
+      return transport.mayBeDisconnected(request.pipelined.client.id);
     }
 
     @Override
@@ -295,7 +295,9 @@
       if (outcome == AttemptOutcome.OK && !request.answered) {
         answerWith(response);
       }
-      if (outcome == AttemptOutcome.NOT_SENT && clientMayHaveGone() && isWithoutAttempt(request)) {
+      if (outcome == AttemptOutcome.NOT_SENT
+          && clientMayBeDisconnected()
+          && isWithoutAttempt(request)) {
         answerGivenUp(request);
       }
       Duration position = positionOf(response);
--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -41,7 +41,7 @@
   /** Since when input that may have arrived has been left unread; null if all was read. */
   private volatile Duration unreadSince;
 
-  /** Whether the event loop was told that reading is behind. */
+  /** Whether the event loop was notified that reading is behind. */
   private boolean behindReported;
 
   private volatile boolean closed;
@@ -109,7 +109,7 @@
     if (unreadSince == null) {
       unreadSince = clock.get();
       processor.inputLeftUnread(this);
-    } else if (!behindReported && mayHaveGone()) {
+    } else if (!behindReported && mayBeDisconnected()) {
       behindReported = true;
       memory.refuseUntilDrained();
       batch.addForClient(connectionId, g -> g.pipeline().inputFellBehind(connectionId));
@@ -124,12 +124,12 @@
   }
 
   /**
-   * Returns whether the client has gone, or may have: its disconnect may lie behind input that has
-   * been left unread for longer than {@link #MAX_UNREAD_TIME}. May be called by any thread. It is
-   * told by the clock, as the next read may be long in coming, and the event loop may be long in
-   * handling a disconnect.
+   * Returns whether the client has disconnected, or may have: its disconnect may lie behind input
+   * that has been left unread for longer than {@link #MAX_UNREAD_TIME}. Evaluated at the time of
+   * the call, as the next read may be delayed, and the event loop may handle a disconnect late. May
+   * be called by any thread.
    */
-  boolean mayHaveGone() {
+  boolean mayBeDisconnected() {
     Duration since = unreadSince;
     return closed || (since != null && clock.get().minus(since).compareTo(MAX_UNREAD_TIME) > 0);
   }
--- a/gateway/src/main/java/weldcross/gateway/Gateway.java
+++ b/gateway/src/main/java/weldcross/gateway/Gateway.java
@@ -157,7 +157,7 @@
    * @return whether any timer was due
    */
   boolean runNextDueTimer(Duration dueBy, Duration time) {
-    Runnable timer = timers.pollDue(dueBy);
+    Runnable timer = timers.pollExpired(dueBy);
     if (timer == null) {
       return false;
     }
@@ -169,7 +169,7 @@
 
   /** Returns the earliest due time of any timer; null if there is none. */
   Duration nextTimerTime() {
-    return timers.nextDueTime();
+    return timers.nextExpiryTime();
   }
 
   private void advanceTo(Duration time) {
--- a/gateway/src/main/java/weldcross/gateway/MinaTransport.java
+++ b/gateway/src/main/java/weldcross/gateway/MinaTransport.java
@@ -290,9 +290,9 @@
   }
 
   @Override
-  public boolean mayHaveGone(long connection) {
+  public boolean mayBeDisconnected(long connection) {
     IoSession session = sessions.get(connection);
-    return session == null || clientStreamOf(session).mayHaveGone();
+    return session == null || clientStreamOf(session).mayBeDisconnected();
   }
 
   @Override
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -316,7 +316,7 @@
       respond(request, MessageEncoder.error("57P03", "stopping", null));
       return;
     }
-    if (transport.mayHaveGone(request.client.id)) {
+    if (transport.mayBeDisconnected(request.client.id)) {
       memory.release();
       respond(request, AttemptTracker.rejectedResponse());
       return;
--- a/gateway/src/main/java/weldcross/gateway/Transport.java
+++ b/gateway/src/main/java/weldcross/gateway/Transport.java
@@ -78,7 +78,7 @@
    * reading has fallen behind what it sends, so that its disconnect may lie unread behind the rest.
    * Nothing may be begun for it then.
    */
-  default boolean mayHaveGone(long connection) {
+  default boolean mayBeDisconnected(long connection) {
     return false;
   }
 
--- a/gateway/src/main/java/weldcross/routing/RouterTimers.java
+++ b/gateway/src/main/java/weldcross/routing/RouterTimers.java
@@ -36,13 +36,13 @@
       return;
     }
     wakeUpAt = null;
-    for (Consumer<Duration> due = callbacks.pollDue(now);
-        due != null;
-        due = callbacks.pollDue(now)) {
-      due.accept(now);
+    for (Consumer<Duration> callback = callbacks.pollExpired(now);
+        callback != null;
+        callback = callbacks.pollExpired(now)) {
+      callback.accept(now);
     }
     if (callbacks.size() > 0) {
-      requestWakeUp(callbacks.nextDueTime());
+      requestWakeUp(callbacks.nextExpiryTime());
     }
   }
 
--- a/gateway/src/main/java/weldcross/routing/TimerQueue.java
+++ b/gateway/src/main/java/weldcross/routing/TimerQueue.java
@@ -5,24 +5,24 @@
 import java.util.TreeSet;
 
 /**
- * Timers ordered by due time and, for equal due times, by the order in which they were added. Not
+ * Timers ordered by expiry time and, for equal times, by the order in which they were added. Not
  * thread-safe.
  *
- * @param <A> type of what a timer does when it is due
+ * @param <A> type of what a timer does when it expires
  */
 public final class TimerQueue<A> {
 
   private static final Comparator<QueuedTimer<?>> ORDER =
-      Comparator.<QueuedTimer<?>, Duration>comparing(timer -> timer.dueTime)
+      Comparator.<QueuedTimer<?>, Duration>comparing(timer -> timer.expiryTime)
           .thenComparingLong(timer -> timer.number);
 
   private static final class QueuedTimer<A> {
-    private final Duration dueTime;
+    private final Duration expiryTime;
     private final long number;
     private final A action;
 
-    private QueuedTimer(Duration dueTime, long number, A action) {
-      this.dueTime = dueTime;
+    private QueuedTimer(Duration expiryTime, long number, A action) {
+      this.expiryTime = expiryTime;
       this.number = number;
       this.action = action;
     }
@@ -35,8 +35,8 @@
   public TimerQueue() {}
 
   /** Adds a timer. */
-  public Timer add(Duration dueTime, A action) {
-    QueuedTimer<A> timer = new QueuedTimer<>(dueTime, ++lastNumber, action);
+  public Timer add(Duration expiryTime, A action) {
+    QueuedTimer<A> timer = new QueuedTimer<>(expiryTime, ++lastNumber, action);
     timers.add(timer);
     return () -> timers.remove(timer);
   }
@@ -46,14 +46,14 @@
     return timers.size();
   }
 
-  /** Returns the earliest due time; null if there are no timers. */
-  public Duration nextDueTime() {
-    return timers.isEmpty() ? null : timers.first().dueTime;
+  /** Returns the earliest expiry time; null if there are no timers. */
+  public Duration nextExpiryTime() {
+    return timers.isEmpty() ? null : timers.first().expiryTime;
   }
 
-  /** Removes the next timer and returns its action; returns null if none is due. */
-  public A pollDue(Duration now) {
-    return timers.isEmpty() || timers.first().dueTime.compareTo(now) > 0
+  /** Removes the next timer and returns its action; returns null if none has expired. */
+  public A pollExpired(Duration now) {
+    return timers.isEmpty() || timers.first().expiryTime.compareTo(now) > 0
         ? null
         : timers.pollFirst().action;
   }
--- a/gateway/src/test/java/weldcross/gateway/AttemptTrackerTest.java
+++ b/gateway/src/test/java/weldcross/gateway/AttemptTrackerTest.java
@@ -293,7 +293,7 @@
    * comes back with the same request.
    */
   @Test
-  void writeThatComesAgainAfterItsClientHasLeftIsNotSentAgain() {
+  void repeatedWriteIsNotSentAgainAfterItsClientDisconnects() {
     GatewayHarness harness = GatewayHarness.serving();
     long first = harness.connect();
     String id = harness.request(first, true, 900);
--- a/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
@@ -68,14 +68,14 @@
     readInNextPass(true);
     now = now.plusMillis(40);
     readInNextPass(true);
-    assertFalse(stream.mayHaveGone());
+    assertFalse(stream.mayBeDisconnected());
     now = now.plusMillis(20);
     readInNextPass(true);
-    assertTrue(stream.mayHaveGone());
+    assertTrue(stream.mayBeDisconnected());
     readInNextPass(false);
-    assertTrue(stream.mayHaveGone(), "the end of the connection may follow what was read");
+    assertTrue(stream.mayBeDisconnected(), "the end of the connection may follow what was read");
     startPass(false);
-    assertFalse(stream.mayHaveGone());
+    assertFalse(stream.mayBeDisconnected());
     assertFalse(stream.isRefusing());
     batch.postAll();
     assertEquals(9, posted.size(), "8 messages, and that input fell behind");
@@ -87,19 +87,19 @@
     readInNextPass(true);
     startPass(false);
     now = now.plusSeconds(10);
-    assertFalse(stream.mayHaveGone());
+    assertFalse(stream.mayBeDisconnected());
     readInNextPass(true);
-    assertFalse(stream.mayHaveGone());
+    assertFalse(stream.mayBeDisconnected());
     assertFalse(stream.isRefusing());
   }
 
   /** Guards against attempts for a client whose disconnect the event loop has not handled. */
   @Test
-  void clientHasGoneAsSoonAsItsDisconnectIsRead() {
+  void clientIsDisconnectedAsSoonAsItsDisconnectIsRead() {
     readInNextPass(false);
-    assertFalse(stream.mayHaveGone());
+    assertFalse(stream.mayBeDisconnected());
     stream.closed();
-    assertTrue(stream.mayHaveGone());
+    assertTrue(stream.mayBeDisconnected());
   }
 
   /** A connection that was left to a later pass has input, other than one that is not readable. */
@@ -109,8 +109,8 @@
     startPass(true);
     stream.defer();
     now = now.plusMillis(60);
-    assertTrue(stream.mayHaveGone(), "before the next read, which may be long in coming");
+    assertTrue(stream.mayBeDisconnected(), "before the next read, which may be long in coming");
     readInNextPass(true);
-    assertTrue(stream.mayHaveGone());
+    assertTrue(stream.mayBeDisconnected());
   }
 }
--- a/gateway/src/test/java/weldcross/gateway/FakeTransport.java
+++ b/gateway/src/test/java/weldcross/gateway/FakeTransport.java
@@ -189,7 +189,7 @@
   }
 
   @Override
-  public boolean mayHaveGone(long number) {
+  public boolean mayBeDisconnected(long number) {
     return inputBehind.contains(number);
   }
 
--- a/gateway/src/test/java/weldcross/gateway/ResponseMemoryTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ResponseMemoryTest.java
@@ -42,7 +42,7 @@
 
   /** Guards against memory that stays accounted for, of which less and less would be left. */
   @Test
-  void nothingIsHeldOnceResponsesAreWrittenOrTheirClientsHaveGone() {
+  void nothingIsHeldOnceResponsesAreWrittenOrTheirClientsDisconnect() {
     GatewayHarness harness = GatewayHarness.serving();
     long client = harness.connect();
     harness.slowReaders.add(client);
--- a/gateway/src/test/java/weldcross/routing/TimerQueueTest.java
+++ b/gateway/src/test/java/weldcross/routing/TimerQueueTest.java
@@ -19,21 +19,21 @@
     timers.add(LATE, "late");
     timers.add(EARLY, "first");
     timers.add(EARLY, "second");
-    assertEquals(EARLY, timers.nextDueTime());
+    assertEquals(EARLY, timers.nextExpiryTime());
     assertEquals(3, timers.size());
-    assertEquals("first", timers.pollDue(EARLY));
-    assertEquals("second", timers.pollDue(EARLY));
-    assertNull(timers.pollDue(EARLY));
-    assertEquals(LATE, timers.nextDueTime());
-    assertEquals("late", timers.pollDue(LATE));
+    assertEquals("first", timers.pollExpired(EARLY));
+    assertEquals("second", timers.pollExpired(EARLY));
+    assertNull(timers.pollExpired(EARLY));
+    assertEquals(LATE, timers.nextExpiryTime());
+    assertEquals("late", timers.pollExpired(LATE));
   }
 
   @Test
   void timerThatIsNotDueStaysQueued() {
-    assertNull(timers.nextDueTime());
-    assertNull(timers.pollDue(LATE));
+    assertNull(timers.nextExpiryTime());
+    assertNull(timers.pollExpired(LATE));
     timers.add(LATE, "late");
-    assertNull(timers.pollDue(EARLY));
+    assertNull(timers.pollExpired(EARLY));
     assertEquals(1, timers.size());
   }
 
@@ -46,7 +46,7 @@
     late.cancel();
     late.cancel();
     assertEquals(1, timers.size());
-    assertEquals("first", timers.pollDue(LATE));
-    assertNull(timers.nextDueTime());
+    assertEquals("first", timers.pollExpired(LATE));
+    assertNull(timers.nextExpiryTime());
   }
 }
