--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -155,7 +155,7 @@
 
   /**
    * Handles that reading has fallen behind what a client sends: its disconnect may lie behind the
-   * rest, and nothing may be begun for a client that has gone. All its requests without an open
+   * rest, and nothing may be begun for a disconnected client. All its requests without an open
    * attempt are given up.
    */
   void inputFellBehind(long connectionId) {
--- a/gateway/src/main/java/weldcross/gateway/ResponseMemory.java
+++ b/gateway/src/main/java/weldcross/gateway/ResponseMemory.java
@@ -6,8 +6,7 @@
 
 /**
  * Accounts for the memory that responses of servers occupy, from the header of a message until the
- * response is written to its client or is not needed any more, and asks the policy what may be
- * held.
+ * response is written to its client or dropped, and asks the policy what may be held.
  *
  * <p>Thread-safe: responses are received on the thread that reads and written by the event loop.
  */
--- a/gateway/src/main/java/weldcross/routing/ExecutedWrites.java
+++ b/gateway/src/main/java/weldcross/routing/ExecutedWrites.java
@@ -6,9 +6,9 @@
 
 /**
  * Remembers the latest requests that must not run twice and that a server may have executed, so
- * that one that comes again is not sent again. A client that leaves before it has its answer may
- * come back with the same request. Memory is limited; the oldest requests are forgotten first. Does
- * no I/O; not thread-safe.
+ * that a repetition is not sent to a server. A client that disconnects before its answer may send
+ * the same request on a new connection. Memory is limited; the oldest requests are forgotten first.
+ * Does no I/O; not thread-safe.
  */
 public final class ExecutedWrites {
 
--- a/gateway/src/main/java/weldcross/routing/SessionConsistency.java
+++ b/gateway/src/main/java/weldcross/routing/SessionConsistency.java
@@ -105,7 +105,7 @@
     }
   }
 
-  /** Merges old tokens into the floor, so that they are not kept for ever. */
+  /** Merges the tokens that are older than their retention into the floor. */
   void expireTokens(Duration now) {
     tokens
         .entrySet()
