--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.function.Supplier;
+import weldcross.connections.UnreadInputPolicy;
 import weldcross.pgwire.ClientMessageDecoder;
 
 /**
@@ -16,12 +17,6 @@
   /** Reading stops when more than this much input has been discarded after the last response. */
   private static final int MAX_DISCARDED_BYTES = 1 << 18;
 
-  /**
-   * How long input may be left unread until nothing more is begun for the client: half of the time
-   * in which nothing may be begun any more for a client that has disconnected.
-   */
-  private static final Duration MAX_UNREAD_TIME = Duration.ofMillis(50);
-
   private final long connectionId;
   private final ReadBatch batch;
   private final Supplier<Duration> clock;
@@ -124,14 +119,12 @@
   }
 
   /**
-   * Returns whether the client has disconnected, or may have: its disconnect may lie behind input
-   * that has been left unread for longer than {@link #MAX_UNREAD_TIME}. Evaluated at the time of
-   * the call, as the next read may be delayed, and the event loop may handle a disconnect late. May
-   * be called by any thread.
+   * Returns whether the client has disconnected, or may have behind unread input. Evaluated at the
+   * time of the call, as the next read may be delayed, and the event loop may handle a disconnect
+   * late. May be called by any thread.
    */
   boolean mayBeDisconnected() {
-    Duration since = unreadSince;
-    return closed || (since != null && clock.get().minus(since).compareTo(MAX_UNREAD_TIME) > 0);
+    return closed || UnreadInputPolicy.mayHideDisconnect(clock.get(), unreadSince);
   }
 
   /** Records that the connection is readable in a pass. */
