Do not refuse a client whose input is read, only because it took long or goes on

Change: input that follows a read that left room shows that the connection had not ended by then, so unread input is no older than that read. What was read over a long time is held back until the next pass or read has shown whether the end follows.

--- a/gateway/src/main/java/weldcross/gateway/ClientStream.java
+++ b/gateway/src/main/java/weldcross/gateway/ClientStream.java
@@ -36,6 +36,12 @@
   /** Since when input that may have arrived has been left unread; null if all was read. */
   private volatile Duration unreadSince;
 
+  /** When a read took all that had arrived; null if the last one may have left input unread. */
+  private Duration emptiedAt;
+
+  /** Whether received messages are held back until it is known if the connection has ended. */
+  private boolean heldBack;
+
   /** Whether the event loop was notified that reading is behind. */
   private boolean behindReported;
 
@@ -91,10 +97,36 @@
       // A read that leaves room in its buffer has taken all bytes that had arrived. The end of the
       // connection may follow them; only a pass that finds nothing to read shows that it does not.
       boolean leavesRoom = in.limit() < in.capacity();
+      recordMoreInput();
+      emptiedAt = leavesRoom ? clock.get() : null;
       if (!leavesRoom || unreadSince != null) {
         recordUnread();
       }
       decoder.feed(in);
+      deliver(leavesRoom);
+    }
+  }
+
+  /**
+   * Records that input follows what was read before. If that was all that had arrived by then, the
+   * connection had not ended, and nothing that is older is unread.
+   */
+  private void recordMoreInput() {
+    if (unreadSince != null && emptiedAt != null) {
+      unreadSince = emptiedAt;
+      behindReported = false;
+      memory.inputDrained();
+    }
+  }
+
+  /**
+   * Delivers what was received. If that is all that had arrived, but came in over a long time, it
+   * is held back until the next pass or read shows whether the connection has ended; a long message
+   * would be refused otherwise.
+   */
+  private void deliver(boolean allRead) {
+    heldBack = allRead && !heldBack && mayBeDisconnected();
+    if (!heldBack) {
       inbox.deliver();
     }
   }
@@ -116,6 +148,10 @@
     unreadSince = null;
     behindReported = false;
     memory.inputDrained();
+    if (heldBack) {
+      heldBack = false;
+      inbox.deliver();
+    }
   }
 
   /**
--- a/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
+++ b/gateway/src/test/java/weldcross/gateway/ClientStreamTest.java
@@ -81,6 +81,36 @@
     assertEquals(9, posted.size(), "8 messages, and that input fell behind");
   }
 
+  /** Guards against refusals for a client that keeps sending and whose input is always read. */
+  @Test
+  void inputThatFollowsShowsThatTheConnectionHadNotEnded() {
+    readInNextPass(true);
+    now = now.plusMillis(60);
+    readInNextPass(false);
+    assertTrue(stream.mayBeDisconnected());
+    now = now.plusMillis(40);
+    readInNextPass(false);
+    assertFalse(stream.mayBeDisconnected());
+    assertFalse(stream.isRefusing());
+  }
+
+  /** Guards against a refused request whose long message took the gateway long to read. */
+  @Test
+  void whatTookLongToReadIsDeliveredOnceTheConnectionIsKnownToBeOpen() {
+    startPass(true);
+    ByteBuffer query = MessageEncoder.query("x".repeat(2_000));
+    stream.read(query.slice(0, 1_000));
+    now = now.plusMillis(60);
+    startPass(true);
+    stream.read(ByteBuffer.allocate(2_000).put(query.slice(1_000, 1_006)).flip());
+    batch.postAll();
+    assertEquals(3, posted.size(), "startup, begun message, input fell behind");
+    startPass(false);
+    batch.postAll();
+    assertEquals(4, posted.size(), "the message");
+    assertFalse(stream.mayBeDisconnected());
+  }
+
   /** Guards against refusals for a client whose last read happened to fill its buffer. */
   @Test
   void readThatFillsItsBufferAfterARestIsNotBehind() {
