--- a/gateway/src/main/java/weldcross/gateway/PipelinedRequest.java
+++ b/gateway/src/main/java/weldcross/gateway/PipelinedRequest.java
@@ -37,11 +37,11 @@
 
   /** Returns the response and drops it; its memory is passed on to the connection's. */
   ByteBuffer[] takeResponse() {
-    ByteBuffer[] taken = response;
-    response = null;
     responseMemory.stopWaiting();
     client.addUnwritten(responseMemory);
     responseMemory = ResponseAccount.UNLIMITED;
+    ByteBuffer[] taken = response;
+    response = null;
     return taken;
   }
 
--- a/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
+++ b/gateway/src/main/java/weldcross/gateway/RequestPipeline.java
@@ -222,11 +222,6 @@
     }
   }
 
-  /** Sets the response of a request; it is written after the responses of all earlier requests. */
-  void respond(PipelinedRequest request, ByteBuffer... response) {
-    respond(request, ResponseAccount.UNLIMITED, response);
-  }
-
   /**
    * Returns whether the response to a request may be held until it can be written, that is, until
    * those to all earlier requests of its client are.
@@ -237,6 +232,11 @@
     return nextInOrder || response.memory().admitWaiting();
   }
 
+  /** Sets the response of a request; it is written after the responses of all earlier requests. */
+  void respond(PipelinedRequest request, ByteBuffer... response) {
+    respond(request, ResponseAccount.UNLIMITED, response);
+  }
+
   /**
    * Sets the response of a request; see the other method of this name.
    *
